Set down the shape and one request path through two nodes

Cause: the repository was empty, and everything later hangs on the shape of the code. Change: the design page, branded ids and result codes, the reducer with its slices, the runtime that runs effects, and the request path from a caller through two nodes to a backend server.

--- /dev/null
+++ b/packages/decisions/src/NodeEffect.ts
@@ -0,0 +1,53 @@
+import type { Millis, TimerId } from '@lavenderturn/types'
+import type { AdmissionEffect } from './admission/AdmissionEffect'
+import type { ControlEffect } from './control/ControlEffect'
+import type { GatewayEffect } from './gateway/GatewayEffect'
+import type { HealthEffect } from './health/HealthEffect'
+import type { IdempotencyEffect } from './idempotency/IdempotencyEffect'
+import type { LimitsEffect } from './limits/LimitsEffect'
+import type { MembershipEffect } from './membership/MembershipEffect'
+import type { EventBody } from './NodeEvent'
+import type { QuarantineEffect } from './quarantine/QuarantineEffect'
+
+/** Starts or clears a timer; a timer that is set again is replaced. @public */
+export type TimerEffect =
+  | {
+    readonly slice: 'timer',
+    readonly type: 'set',
+    readonly id: TimerId,
+    readonly delay: Millis,
+    readonly event: EventBody
+  }
+  | { readonly slice: 'timer', readonly type: 'clear', readonly id: TimerId }
+
+/** Hands an event to the reducer within the same step. @public */
+export interface RaiseEffect {
+  readonly slice: 'reducer'
+  readonly type: 'raise'
+  readonly event: EventBody
+}
+
+/** Reports a change of state as one log line. Counters are kept for everything else. @public */
+export interface LogEffect {
+  readonly slice: 'log'
+  readonly type: 'stateChanged'
+  readonly message: string
+  readonly fields: Readonly<Record<string, string | number | boolean>>
+}
+
+/** Everything that the reducer can ask of the runtime. @public */
+export type NodeEffect =
+  | AdmissionEffect
+  | ControlEffect
+  | GatewayEffect
+  | HealthEffect
+  | IdempotencyEffect
+  | LimitsEffect
+  | LogEffect
+  | MembershipEffect
+  | QuarantineEffect
+  | RaiseEffect
+  | TimerEffect
+
+/** The effects that leave the reducer: all but `raise`. @public */
+export type OutwardEffect = Exclude<NodeEffect, RaiseEffect>
--- /dev/null
+++ b/packages/decisions/src/control/ControlState.ts
@@ -0,0 +1,19 @@
+import type { Millis } from '@lavenderturn/types'
+import type { ControlDocument } from './ControlDocument'
+
+/** @public */
+export interface ControlState {
+  /** Undefined until the first document is known; team traffic is refused until then. */
+  document: ControlDocument | undefined
+  /** When the node was last sure that no newer revision can be in force. */
+  freshAt: Millis
+}
+
+/**
+ * @param options - `now`: start time
+ * @returns the state of a node that knows no document
+ * @internal
+ */
+export function createControlState ({ now }: { readonly now: Millis }): ControlState {
+  return { document: undefined, freshAt: now }
+}
--- /dev/null
+++ b/packages/decisions/src/createEvent.ts
@@ -0,0 +1,14 @@
+import type { Millis } from '@lavenderturn/types'
+import type { EventBody, NodeEvent } from './NodeEvent'
+
+/**
+ * Gives an event its time.
+ *
+ * @param body - the event without its time
+ * @param at - monotonic time
+ * @returns the event
+ * @public
+ */
+export function createEvent (body: EventBody, at: Millis): NodeEvent {
+  return { ...body, at }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/GatewayState.ts
@@ -0,0 +1,49 @@
+import type {
+  AttemptId, EndpointId, Fingerprint, IdempotencyKey, Millis, RequestId, ResultName, TeamId
+} from '@lavenderturn/types'
+import type { RouteEntry } from '../control/ControlDocument'
+
+/** What a request is waiting for. @public */
+export type RequestPhase = 'charging' | 'claiming' | 'forwarding' | 'answering'
+
+/** One request in flight at the gateway. @public */
+export interface GatewayRequest {
+  readonly id: RequestId
+  readonly route: RouteEntry
+  /** Absent on open routes. */
+  readonly team?: TeamId
+  readonly fingerprint: Fingerprint
+  readonly idempotencyKey?: IdempotencyKey
+  readonly deadline: Millis
+  phase: RequestPhase
+  attempts: number
+  attempt?: AttemptId
+  /** Endpoints that refused or failed, which a retry avoids. */
+  readonly tried: Set<EndpointId>
+  /** Whether a backend server may have received any attempt so far. */
+  mayHaveRun: boolean
+  /** HTTP status of the answer that is being relayed. */
+  status?: number
+  /** The result of the latest attempt that ended, for the caller when no other attempt follows. */
+  lastResult?: ResultName
+}
+
+/** @public */
+export interface GatewayState {
+  readonly requests: Map<RequestId, GatewayRequest>
+  /** Number of the next attempt; part of attempt ids. */
+  nextAttempt: number
+  /** Attempts that retries may still use; filled by first attempts. */
+  retryBudget: number
+}
+
+/** Retries that may follow each other before first attempts have filled the budget. */
+export const RETRY_BUDGET_CAPACITY = 10
+
+/**
+ * @returns the state of a gateway without requests
+ * @internal
+ */
+export function createGatewayState (): GatewayState {
+  return { requests: new Map(), nextAttempt: 0, retryBudget: RETRY_BUDGET_CAPACITY }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/endRequest.ts
@@ -0,0 +1,23 @@
+import { toId } from '@lavenderturn/types'
+import { type ClaimOutcome, settleClaim } from '../idempotency/settleClaim'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import type { GatewayRequest } from './GatewayState'
+
+/**
+ * Forgets a request and drops the attempt that still runs for it.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @param outcome - how it ended, for the owners of its idempotency key
+ * @returns effects
+ * @internal
+ */
+export function endRequest (state: NodeState, request: GatewayRequest, outcome: ClaimOutcome): NodeEffect[] {
+  state.gateway.requests.delete(request.id)
+  const effects: NodeEffect[] = [{ slice: 'timer', type: 'clear', id: toId(`deadline/${request.id}`) }]
+  if (request.attempt !== undefined) {
+    effects.push({ slice: 'gateway', type: 'cancelForward', requestId: request.id, attemptId: request.attempt })
+  }
+  return effects.concat(settleClaim(state, request, outcome))
+}
--- /dev/null
+++ b/packages/decisions/src/membership/MemberRecord.ts
@@ -0,0 +1,25 @@
+import type { Address, DataCentreId, EndpointId, NodeId, RegionId, ServiceId } from '@lavenderturn/types'
+
+/** What a node says of one backend server beside it. @public */
+export interface EndpointRecord {
+  readonly id: EndpointId
+  readonly service: ServiceId
+  readonly slots: number
+  /** A draining endpoint gets no new work. */
+  readonly state: 'serving' | 'draining'
+}
+
+/** What a node says of itself; spread by gossip. @public */
+export interface MemberRecord {
+  readonly nodeId: NodeId
+  /** Raised by the node itself to refute a suspicion. */
+  readonly incarnation: number
+  readonly dataCentre: DataCentreId
+  readonly region: RegionId
+  readonly forwardAddress: Address
+  readonly controlAddress: Address
+  readonly protocolVersion: number
+  /** Raised with every change of `endpoints`. */
+  readonly endpointsVersion: number
+  readonly endpoints: readonly EndpointRecord[]
+}
--- /dev/null
+++ b/packages/decisions/src/membership/MembershipEffect.ts
@@ -0,0 +1,2 @@
+/** @public */
+export type MembershipEffect = never
--- /dev/null
+++ b/packages/decisions/src/quarantine/QuarantineEffect.ts
@@ -0,0 +1,2 @@
+/** @public */
+export type QuarantineEffect = never
--- /dev/null
+++ b/packages/decisions/src/quarantine/QuarantineState.ts
@@ -0,0 +1,10 @@
+/** @public */
+export interface QuarantineState {}
+
+/**
+ * @returns the empty state
+ * @internal
+ */
+export function createQuarantineState (): QuarantineState {
+  return {}
+}
--- /dev/null
+++ b/packages/decisions/src/reduce.ts
@@ -0,0 +1,48 @@
+import { reduceAdmission } from './admission/reduceAdmission'
+import { reduceControl } from './control/reduceControl'
+import { reduceGateway } from './gateway/reduceGateway'
+import { reduceHealth } from './health/reduceHealth'
+import { reduceIdempotency } from './idempotency/reduceIdempotency'
+import { assertInvariants } from './invariants/assertInvariants'
+import { reduceLimits } from './limits/reduceLimits'
+import { reduceMembership } from './membership/reduceMembership'
+import type { NodeEffect, OutwardEffect } from './NodeEffect'
+import type { NodeEvent } from './NodeEvent'
+import type { NodeState } from './NodeState'
+import { reduceQuarantine } from './quarantine/reduceQuarantine'
+
+/**
+ * Applies one event to the state of a node. This is the only function that changes the state, and it does so in
+ * place: copying tables of 18,000 routes for each event would not fit the latency budget.
+ *
+ * @param state - the state, owned by the caller and updated in place
+ * @param event - what happened
+ * @returns the effects to run, in order; events raised by slices have been handled already
+ * @public
+ */
+export function reduce (state: NodeState, event: NodeEvent): OutwardEffect[] {
+  if (event.at > state.now) state.now = event.at
+  const outward: OutwardEffect[] = []
+  const pending: NodeEvent[] = [event]
+  for (const next of pending) {
+    for (const effect of reduceSlice(state, next)) {
+      if (effect.slice === 'reducer') pending.push({ ...effect.event, at: event.at })
+      else outward.push(effect)
+    }
+  }
+  assertInvariants(state, event, outward)
+  return outward
+}
+
+function reduceSlice (state: NodeState, event: NodeEvent): NodeEffect[] {
+  switch (event.slice) {
+    case 'admission': return reduceAdmission(state, event)
+    case 'control': return reduceControl(state, event)
+    case 'gateway': return reduceGateway(state, event)
+    case 'health': return reduceHealth(state, event)
+    case 'idempotency': return reduceIdempotency(state, event)
+    case 'limits': return reduceLimits(state, event)
+    case 'membership': return reduceMembership(state, event)
+    case 'quarantine': return reduceQuarantine(state, event)
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/LogHandler.ts
@@ -0,0 +1,23 @@
+import type { OutwardEffect } from '@lavenderturn/decisions'
+import { type ConsolaInstance, createConsola } from 'consola'
+import { EffectHandler } from './EffectHandler'
+
+/** @public */
+export interface LogHandlerOptions {
+  readonly log?: ConsolaInstance
+}
+
+/** Writes a line for each change of state. @public */
+export class LogHandler extends EffectHandler {
+  override readonly slices = ['log'] as const
+  private readonly log: ConsolaInstance
+
+  constructor ({ log = createConsola() }: LogHandlerOptions = {}) {
+    super()
+    this.log = log
+  }
+
+  override run (effect: OutwardEffect): void {
+    if (effect.slice === 'log') this.log.info(effect.message, effect.fields)
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,5 @@
+export * from './Clock'
+export * from './createNode'
+export * from './EffectHandler'
+export * from './gateway/createCallerServer'
+export * from './Runtime'
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,2 @@
+export * from './ids'
+export * from './resultCodes'
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,39 @@
+// Bundles each program into one file under dist/, so that a node process loads no TypeScript at run time.
+import { build } from 'esbuild'
+import { existsSync } from 'node:fs'
+
+const programs = {
+  'lavenderturn-node': 'apps/node/src/main.ts',
+  'lavenderturn-ctl': 'apps/ctl/src/main.ts',
+  'lavenderturn-timeline': 'apps/timeline/src/main.ts',
+  'lavenderturn-load': 'apps/load/src/main.ts',
+  'lavenderturn-demo': 'apps/demo/src/main.ts',
+  'standin-platform': 'standins/platform/src/main.ts',
+  'standin-backend-server': 'standins/backend-server/src/main.ts'
+}
+
+await build({
+  entryPoints: Object.entries(programs)
+    .filter(([, entry]) => existsSync(entry))
+    .map(([out, entry]) => ({ in: entry, out })),
+  outdir: 'dist',
+  outExtension: { '.js': '.mjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  packages: 'external',
+  alias: {},
+  sourcemap: true,
+  plugins: [{
+    // Workspace packages are bundled; packages from the registry stay external.
+    name: 'workspace-packages',
+    setup (context) {
+      context.onResolve({ filter: /^@lavenderturn\// }, async (args) => {
+        const name = args.path.slice('@lavenderturn/'.length)
+        return { path: new URL(`../packages/${name}/src/index.ts`, import.meta.url).pathname }
+      })
+    }
+  }],
+  logLevel: 'warning'
+})
