--- /dev/null
+++ b/packages/runtime/src/peers/PendingCalls.ts
@@ -0,0 +1,37 @@
+import { type CallId, toId } from '@lavenderturn/types'
+
+/**
+ * Calls of other nodes that wait for the reducer's answer. The route of a call puts an event with the call's id to
+ * the reducer; an effect with the same id answers it.
+ *
+ * @public
+ */
+export class PendingCalls<Answer> {
+  private readonly resolvers = new Map<CallId, (answer: Answer) => void>()
+  private next = 0
+
+  /**
+   * Opens a call.
+   *
+   * @param start - puts the event with the call's id to the reducer
+   * @returns the answer
+   */
+  async open (start: (callId: CallId) => void): Promise<Answer> {
+    const callId = toId<CallId>(String(this.next++))
+    return await new Promise((resolve) => {
+      this.resolvers.set(callId, resolve)
+      start(callId)
+    })
+  }
+
+  /**
+   * Answers a call; a call that is not open is ignored.
+   *
+   * @param callId - the call
+   * @param answer - its answer
+   */
+  answer (callId: CallId, answer: Answer): void {
+    this.resolvers.get(callId)?.(answer)
+    this.resolvers.delete(callId)
+  }
+}
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -48,6 +48,8 @@
 export type TimerId = Branded<string, 'TimerId'>
 /** `host:port`. @public */
 export type Address = Branded<string, 'Address'>
+/** Correlates a call of another node with the answer that the reducer gives. @public */
+export type CallId = Branded<string, 'CallId'>
 /** Milliseconds: a duration, or a point on the monotonic clock of one process. @public */
 export type Millis = Branded<number, 'Millis'>
 
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/lavenderturn/v1/membership_pb'
