--- a/packages/decisions/src/control/ControlDocument.ts
+++ b/packages/decisions/src/control/ControlDocument.ts
@@ -1,4 +1,4 @@
-import type { DataCentreId, KeyHash, Millis, Revision, RouteId, ServiceId, TeamId } from '@lavenderturn/types'
+import type { DataCentreId, DomainId, KeyHash, Millis, Revision, RouteId, ServiceId, TeamId } from '@lavenderturn/types'
 
 /** @public */
 export interface TeamEntry {
@@ -41,6 +41,10 @@
 /** The accepted configuration at one revision, as the decisions read it. @public */
 export interface ControlDocument {
   readonly revision: Revision
+  /** Whether a team's rate is divided by data centre (one region) or by region (several). */
+  readonly domainKind: 'dataCentre' | 'region'
+  /** The declared data centres or regions, by `domainKind`. */
+  readonly domains: readonly DomainId[]
   /**
    * @param keyHash - hash of the caller's key
    * @returns the team that owns the key, or undefined
--- a/packages/decisions/src/control/ControlState.ts
+++ b/packages/decisions/src/control/ControlState.ts
@@ -1,10 +1,13 @@
 import type { Millis } from '@lavenderturn/types'
+import type { Assignment } from './Assignment'
 import type { ControlDocument } from './ControlDocument'
 
 /** @public */
 export interface ControlState {
   /** Undefined until the first document is known; team traffic is refused until then. */
   document: ControlDocument | undefined
+  /** Owners of partitions, with hand-overs that the head row does not show yet. */
+  readonly assignment: Assignment
   /** When the node was last sure that no newer revision can be in force. */
   freshAt: Millis
 }
@@ -15,5 +18,5 @@
  * @internal
  */
 export function createControlState ({ now }: { readonly now: Millis }): ControlState {
-  return { document: undefined, freshAt: now }
+  return { document: undefined, assignment: new Map(), freshAt: now }
 }
