Move the compiled declaration to its own package

Cause: the declaration package builds the tables that the decisions read, and must not depend on the decisions. Change: ControlDocument and its entries move to packages/declaration.

--- a/packages/decisions/src/control/ControlEvent.ts
+++ b/packages/decisions/src/control/ControlEvent.ts
@@ -1,5 +1,5 @@
 import type { EventBase } from '../NodeEvent'
-import type { ControlDocument } from './ControlDocument'
+import type { ControlDocument } from '@lavenderturn/declaration'
 
 /** @public */
 export interface DocumentAccepted extends EventBase {
--- a/packages/decisions/src/control/ControlState.ts
+++ b/packages/decisions/src/control/ControlState.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '@lavenderturn/types'
 import type { Assignment } from './Assignment'
-import type { ControlDocument } from './ControlDocument'
+import type { ControlDocument } from '@lavenderturn/declaration'
 
 /** @public */
 export interface ControlState {
--- a/packages/decisions/src/gateway/GatewayState.ts
+++ b/packages/decisions/src/gateway/GatewayState.ts
@@ -1,7 +1,7 @@
 import type {
   AttemptId, EndpointId, Fingerprint, IdempotencyKey, Millis, RequestId, ResultName, TeamId
 } from '@lavenderturn/types'
-import type { RouteEntry } from '../control/ControlDocument'
+import type { RouteEntry } from '@lavenderturn/declaration'
 
 /** What a request is waiting for. @public */
 export type RequestPhase = 'charging' | 'claiming' | 'forwarding' | 'answering'
--- a/packages/decisions/src/gateway/admitRequest.ts
+++ b/packages/decisions/src/gateway/admitRequest.ts
@@ -1,5 +1,5 @@
 import { addMillis, type Millis, millis, type ResultName, resultCodes, type TeamId, toId } from '@lavenderturn/types'
-import type { RouteEntry } from '../control/ControlDocument'
+import type { RouteEntry } from '@lavenderturn/declaration'
 import { isFresh } from '../control/isFresh'
 import { charge } from '../limits/charge'
 import type { NodeEffect } from '../NodeEffect'
