Add the membership: gossip, probes, suspicion and leaving

Cause: nodes have to find each other and each other's backend servers without a list, and an outage of the store must not stop that. Change: the membership slice (push-pull gossip each 250 ms, probes each second with three indirect ones, suspicion, refutation, digests that find lost changes, contact with dead members after a partition) with its control calls. Ruled out: probe timeouts of 500 ms, with which the next probe replaced the one in progress and no killed node was ever suspected (seen by the test).

--- /dev/null
+++ b/packages/decisions/src/membership/exchangeGossip.ts
@@ -0,0 +1,101 @@
+import { type Address, type TimerId, toId } from '@lavenderturn/types'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { composeGossip } from './composeGossip'
+import type { Gossip } from './Gossip'
+import type { Member } from './MembershipState'
+import { DEAD_RETENTION, FULL_EXCHANGE_INTERVAL, GOSSIP_INTERVAL, LEFT_RETENTION } from './membershipTimings'
+import { listPeers, listPollers, pickMembers } from './selectPeers'
+import { forgetMember } from './updateMember'
+
+const GOSSIP_TIMER = toId<TimerId>('membership/gossip')
+
+/**
+ * Exchanges gossip with one member of the same data centre and, as a poller, with one poller of another; or asks the
+ * seeds while no member is known.
+ *
+ * @param state - the node's state
+ * @returns effects
+ * @internal
+ */
+export function exchangeGossip (state: NodeState): NodeEffect[] {
+  forgetExpired(state)
+  const addresses = selectPartners(state).map(({ record }) => record.controlAddress)
+  const effects = addresses.map((address) => sendGossip(state, address))
+  if (addresses.length === 0) effects.push(...askSeeds(state))
+  effects.push({
+    slice: 'timer',
+    type: 'set',
+    id: GOSSIP_TIMER,
+    delay: GOSSIP_INTERVAL,
+    event: { slice: 'membership', type: 'gossipDue' }
+  })
+  return effects
+}
+
+/**
+ * Asks a member for its whole list when the lists differ, at most once in `FULL_EXCHANGE_INTERVAL`. Changes that were
+ * lost after their last transmission are found this way.
+ *
+ * @param state - the node's state
+ * @param gossip - the member's message, whose changes have been taken over
+ * @returns effects
+ * @internal
+ */
+export function reconcileLists (state: NodeState, gossip: Gossip): NodeEffect[] {
+  const { membership } = state
+  if (gossip.membersDigest === membership.digest || membership.pendingUpdates.size > 0) return []
+  if (membership.fullExchangeAt !== undefined && state.now - membership.fullExchangeAt < FULL_EXCHANGE_INTERVAL) {
+    return []
+  }
+  const sender = membership.members.get(gossip.from)
+  if (sender === undefined) return []
+  membership.fullExchangeAt = state.now
+  return [sendGossip(state, sender.record.controlAddress, { full: true })]
+}
+
+/**
+ * @param state - the node's state
+ * @param address - control address of another node
+ * @param options - `full`: asks for the whole member list
+ * @returns the effect that sends the gossip
+ * @internal
+ */
+export function sendGossip (
+  state: NodeState,
+  address: Address,
+  { full = false }: { readonly full?: boolean } = {}
+): NodeEffect {
+  return { slice: 'membership', type: 'sendGossip', address, gossip: composeGossip(state), full }
+}
+
+function selectPartners (state: NodeState): Member[] {
+  const peers = listPeers(state)
+  const { dataCentre, nodeId } = state.identity
+  const near = pickMembers(state, peers.filter(({ record }) => record.dataCentre === dataCentre), 1)
+  const isPoller = listPollers(state, dataCentre).some(({ record }) => record.nodeId === nodeId)
+  if (!isPoller && near.length > 0) return near
+  return [...near, ...pickFarPoller(state, peers)]
+}
+
+function pickFarPoller (state: NodeState, peers: readonly Member[]): Member[] {
+  const far = peers.filter(({ record }) => record.dataCentre !== state.identity.dataCentre)
+  const [any] = pickMembers(state, far, 1)
+  if (any === undefined) return []
+  const pollers = listPollers(state, any.record.dataCentre)
+  return pollers.length === 0 ? [any] : pickMembers(state, pollers, 1)
+}
+
+function askSeeds (state: NodeState): NodeEffect[] {
+  const { seeds } = state.membership
+  const own = state.identity.controlAddress
+  return seeds.filter((seed) => seed !== own).map((seed) => sendGossip(state, seed, { full: true }))
+}
+
+function forgetExpired ({ now, membership }: NodeState): void {
+  for (const member of membership.members.values()) {
+    const retention = member.status === 'dead' ? DEAD_RETENTION : LEFT_RETENTION
+    const gone = member.status === 'dead' || member.status === 'left'
+    if (gone && now - member.statusAt > retention) forgetMember(membership, member)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/membership/probeMembers.ts
@@ -0,0 +1,123 @@
+import { type TimerId, toId } from '@lavenderturn/types'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { composeGossip } from './composeGossip'
+import { sendGossip } from './exchangeGossip'
+import type { Member } from './MembershipState'
+import { INDIRECT_PROBES, PROBE_INTERVAL, PROBE_TIMEOUT } from './membershipTimings'
+import { listPeers, pickMembers } from './selectPeers'
+import { updateMember } from './updateMember'
+
+const PROBE_TIMER = toId<TimerId>('membership/probe')
+const PROBE_TIMEOUT_TIMER = toId<TimerId>('membership/probeTimeout')
+
+/**
+ * Probes the next member. Members are probed in random order, each once in a cycle, which bounds the time until a
+ * failed one is noticed.
+ *
+ * @param state - the node's state
+ * @returns effects
+ * @internal
+ */
+export function probeNext (state: NodeState): NodeEffect[] {
+  const effects: NodeEffect[] = [{
+    slice: 'timer',
+    type: 'set',
+    id: PROBE_TIMER,
+    delay: PROBE_INTERVAL,
+    event: { slice: 'membership', type: 'probeDue' }
+  }]
+  effects.push(...contactDead(state))
+  const target = takeNextTarget(state)
+  if (target === undefined) return effects
+  const probeId = state.membership.nextProbeId++
+  state.membership.probe = { id: probeId, target: target.record.nodeId, indirect: false }
+  effects.push(
+    {
+      slice: 'membership',
+      type: 'sendProbe',
+      probeId,
+      address: target.record.controlAddress,
+      gossip: composeGossip(state)
+    },
+    setTimeoutTimer(probeId)
+  )
+  return effects
+}
+
+/**
+ * Handles a probe without an answer: other members are asked to probe the target, and then it is suspected.
+ *
+ * @param state - the node's state
+ * @param probeId - the probe
+ * @returns effects
+ * @internal
+ */
+export function escalateProbe (state: NodeState, probeId: number): NodeEffect[] {
+  const { probe, members } = state.membership
+  if (probe === undefined || probe.id !== probeId) return []
+  const target = members.get(probe.target)
+  if (target === undefined) return []
+  const helpers = pickMembers(state, listPeers(state).filter((member) => member !== target), INDIRECT_PROBES)
+  if (probe.indirect || helpers.length === 0) {
+    state.membership.probe = undefined
+    return suspect(state, target)
+  }
+  probe.indirect = true
+  const effects: NodeEffect[] = helpers.map((helper) => ({
+    slice: 'membership',
+    type: 'sendIndirectProbe',
+    probeId,
+    via: helper.record.controlAddress,
+    target: probe.target,
+    targetAddress: target.record.controlAddress
+  }))
+  return [...effects, setTimeoutTimer(probeId)]
+}
+
+/**
+ * Ends a probe that was answered.
+ *
+ * @param state - the node's state
+ * @param probeId - the probe
+ * @returns effects
+ * @internal
+ */
+export function endProbe (state: NodeState, probeId: number): NodeEffect[] {
+  if (state.membership.probe?.id !== probeId) return []
+  state.membership.probe = undefined
+  return [{ slice: 'timer', type: 'clear', id: PROBE_TIMEOUT_TIMER }]
+}
+
+/** Two sides of a healed partition hold each other for dead, so one of them has to try again. */
+function contactDead (state: NodeState): NodeEffect[] {
+  const dead = [...state.membership.members.values()].filter(({ status }) => status === 'dead')
+  return pickMembers(state, dead, 1).map(({ record }) => sendGossip(state, record.controlAddress))
+}
+
+function suspect (state: NodeState, { record, status }: Member): NodeEffect[] {
+  return status === 'alive' ? updateMember(state, { record, status: 'suspect' }) : []
+}
+
+function setTimeoutTimer (probeId: number): NodeEffect {
+  return {
+    slice: 'timer',
+    type: 'set',
+    id: PROBE_TIMEOUT_TIMER,
+    delay: PROBE_TIMEOUT,
+    event: { slice: 'membership', type: 'probeTimedOut', probeId }
+  }
+}
+
+function takeNextTarget (state: NodeState): Member | undefined {
+  const { membership } = state
+  const peers = listPeers(state)
+  if (peers.length === 0) return undefined
+  while (membership.probeOrder.length > 0) {
+    const member = membership.members.get(membership.probeOrder.pop()!)
+    if (member !== undefined && peers.includes(member)) return member
+  }
+  const shuffled = pickMembers(state, peers, peers.length)
+  membership.probeOrder.push(...shuffled.slice(1).map(({ record }) => record.nodeId))
+  return shuffled[0]
+}
--- a/packages/decisions/src/membership/reduceMembership.ts
+++ b/packages/decisions/src/membership/reduceMembership.ts
@@ -1,8 +1,14 @@
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
-import type { MemberRecord } from './MemberRecord'
-import type { MemberLearned, MembershipEvent } from './MembershipEvent'
-import type { Member, MembershipState } from './MembershipState'
+import { composeGossip } from './composeGossip'
+import { describeSelf } from './describeSelf'
+import { exchangeGossip, reconcileLists, sendGossip } from './exchangeGossip'
+import { type Gossip, type MemberChange, PROTOCOL_VERSION } from './Gossip'
+import type { GossipAsked, MembershipEvent, MembershipStarted, ProbeAnswered, RowsRead } from './MembershipEvent'
+import { PUSHED_NOTICES } from './membershipTimings'
+import { endProbe, escalateProbe, probeNext } from './probeMembers'
+import { listPeers, pickMembers } from './selectPeers'
+import { countTransmissions, updateMember } from './updateMember'
 
 /**
  * @param state - the node's state
@@ -12,32 +18,101 @@
  */
 export function reduceMembership (state: NodeState, event: MembershipEvent): NodeEffect[] {
   switch (event.type) {
-    case 'memberLearned': return learnMember(state, event)
+    case 'started': return startMembership(state, event)
+    case 'memberLearned': return learnChange(state, event)
+    case 'rowsRead': return learnRows(state, event)
+    case 'gossipDue': return exchangeGossip(state)
+    case 'probeDue': return probeNext(state)
+    case 'gossipAsked': return answerGossip(state, event)
+    case 'gossipAnswered': return hearGossip(state, event.gossip)
+    case 'probeAnswered': return finishProbe(state, event)
+    case 'probeTimedOut': return escalateProbe(state, event.probeId)
+    case 'suspicionExpired': return updateMember(state, { record: event.record, status: 'dead' })
+    case 'localEndpointsChanged': return republishSelf(state)
+    case 'leaveStarted': return leave(state)
   }
 }
 
-function learnMember (state: NodeState, { record, status }: MemberLearned): NodeEffect[] {
-  const known = state.membership.members.get(record.nodeId)
-  if (known !== undefined && !isNewer(record, known.record) && known.status === status) return []
-  const member: Member = { record, status }
-  if (known !== undefined) removeFromDirectory(state.membership, known)
-  state.membership.members.set(record.nodeId, member)
-  if (status === 'alive' || status === 'suspect') addToDirectory(state.membership, member)
-  return []
+function startMembership (state: NodeState, { seeds }: MembershipStarted): NodeEffect[] {
+  state.membership.seeds = seeds
+  const record = describeSelf(state, { incarnation: 1, endpointsVersion: 1 })
+  return [
+    ...updateMember(state, { record, status: 'alive' }),
+    { slice: 'membership', type: 'writeRow', record },
+    { slice: 'membership', type: 'readRows' },
+    ...exchangeGossip(state),
+    ...probeNext(state)
+  ]
 }
 
-function isNewer (record: MemberRecord, known: MemberRecord): boolean {
-  return record.incarnation > known.incarnation || record.endpointsVersion > known.endpointsVersion
+function learnRows (state: NodeState, { records }: RowsRead): NodeEffect[] {
+  return records.flatMap((record) => learnChange(state, { record, status: 'alive' }))
 }
 
-function addToDirectory ({ directory }: MembershipState, member: Member): void {
-  for (const endpoint of member.record.endpoints) {
-    const entries = directory.get(endpoint.service) ?? new Map()
-    entries.set(endpoint.id, { endpoint, member })
-    directory.set(endpoint.service, entries)
-  }
+function answerGossip (state: NodeState, { callId, gossip, full }: GossipAsked): NodeEffect[] {
+  if (!isCompatible(gossip)) return [{ slice: 'membership', type: 'refuseGossip', callId }]
+  const effects = hearGossip(state, gossip)
+  return [...effects, { slice: 'membership', type: 'answerGossip', callId, gossip: composeGossip(state, { full }) }]
+}
+
+function finishProbe (state: NodeState, { probeId, gossip }: ProbeAnswered): NodeEffect[] {
+  const effects = endProbe(state, probeId)
+  return gossip === undefined ? effects : effects.concat(hearGossip(state, gossip))
+}
+
+function hearGossip (state: NodeState, gossip: Gossip): NodeEffect[] {
+  if (!isCompatible(gossip)) return []
+  const effects = gossip.changes.flatMap((change) => learnChange(state, change))
+  retellVerdict(state, gossip)
+  return effects.concat(reconcileLists(state, gossip))
+}
+
+/** Tells a sender that is held for suspect or dead, so that it can refute. */
+function retellVerdict ({ membership }: NodeState, { from }: Gossip): void {
+  const status = membership.members.get(from)?.status
+  if (status === 'suspect' || status === 'dead') membership.pendingUpdates.set(from, countTransmissions(membership))
+}
+
+function isCompatible ({ protocolVersion }: Gossip): boolean {
+  return Math.abs(protocolVersion - PROTOCOL_VERSION) <= 1
+}
+
+function learnChange (state: NodeState, change: MemberChange): NodeEffect[] {
+  if (change.record.nodeId !== state.identity.nodeId) return updateMember(state, change)
+  return change.status === 'alive' ? [] : refute(state, change)
+}
+
+/** Answers a suspicion of this node with a higher incarnation. */
+function refute (state: NodeState, { record }: MemberChange): NodeEffect[] {
+  const self = state.membership.members.get(state.identity.nodeId)
+  if (self === undefined || state.membership.leaving || record.incarnation < self.record.incarnation) return []
+  const { endpointsVersion } = self.record
+  const refuted = describeSelf(state, { incarnation: record.incarnation + 1, endpointsVersion })
+  return updateMember(state, { record: refuted, status: 'alive' })
+}
+
+function republishSelf (state: NodeState): NodeEffect[] {
+  const self = state.membership.members.get(state.identity.nodeId)
+  if (self === undefined || state.membership.leaving) return []
+  const { incarnation, endpointsVersion } = self.record
+  const record = describeSelf(state, { incarnation, endpointsVersion: endpointsVersion + 1 })
+  return [...updateMember(state, { record, status: 'alive' }), ...notifySome(state)]
+}
+
+function leave (state: NodeState): NodeEffect[] {
+  const self = state.membership.members.get(state.identity.nodeId)
+  if (self === undefined || state.membership.leaving) return []
+  state.membership.leaving = true
+  return [
+    ...updateMember(state, { record: self.record, status: 'left' }),
+    { slice: 'membership', type: 'removeRow', node: state.identity.nodeId },
+    ...notifySome(state)
+  ]
 }
 
-function removeFromDirectory ({ directory }: MembershipState, member: Member): void {
-  for (const endpoint of member.record.endpoints) directory.get(endpoint.service)?.delete(endpoint.id)
+/** Pushes a change of this node at once: callers' work depends on it, and a round of gossip is 250 ms. */
+function notifySome (state: NodeState): NodeEffect[] {
+  return pickMembers(state, listPeers(state), PUSHED_NOTICES).map(({ record }) => {
+    return sendGossip(state, record.controlAddress)
+  })
 }
--- /dev/null
+++ b/packages/runtime/src/membership/MembershipHandler.ts
@@ -0,0 +1,87 @@
+import { createClient } from '@connectrpc/connect'
+import type { Gossip, OutwardEffect, SendGossip, SendIndirectProbe, SendProbe } from '@lavenderturn/decisions'
+import type { Address, CallId } from '@lavenderturn/types'
+import { MembershipService } from '@lavenderturn/wire'
+import { EffectHandler } from '../EffectHandler'
+import { PendingCalls } from '../peers/PendingCalls'
+import type { PeerTransports } from '../peers/PeerTransports'
+import type { Runtime } from '../Runtime'
+import { decodeGossip, encodeGossip } from './gossipCodec'
+
+/** A call that takes longer is given up; the reducer's own timers decide what follows. */
+const CALL_TIMEOUT_MS = 500
+
+/** The reducer's answer to another node's gossip: ours, or undefined when its protocol version is refused. */
+export type GossipAnswer = Gossip | undefined
+
+/** Sends and answers gossip and probes. @public */
+export class MembershipHandler extends EffectHandler {
+  override readonly slices = ['membership'] as const
+  /** Gossip of other nodes that waits for the reducer's answer. */
+  readonly calls = new PendingCalls<GossipAnswer>()
+
+  constructor (private readonly runtime: Runtime, private readonly transports: PeerTransports) {
+    super()
+  }
+
+  override run (effect: OutwardEffect): void {
+    if (effect.slice !== 'membership') return
+    switch (effect.type) {
+      case 'sendGossip': return this.report(this.sendGossip(effect))
+      case 'sendProbe': return this.report(this.sendProbe(effect))
+      case 'sendIndirectProbe': return this.report(this.sendIndirectProbe(effect))
+      case 'answerGossip': return this.answer(effect.callId, effect.gossip)
+      case 'refuseGossip': return this.answer(effect.callId, undefined)
+    }
+  }
+
+  /**
+   * Probes a node without gossip, for another member.
+   *
+   * @param address - control address of the node
+   * @returns whether it answered
+   */
+  async probe (address: Address): Promise<boolean> {
+    return await this.client(address).probe({}, { timeoutMs: CALL_TIMEOUT_MS }).then(() => true, () => false)
+  }
+
+  private async sendGossip ({ address, gossip, full }: SendGossip): Promise<void> {
+    const answer = await this.client(address).exchange(
+      { gossip: encodeGossip(gossip), full },
+      { timeoutMs: CALL_TIMEOUT_MS }
+    )
+    if (answer.gossip === undefined) return
+    this.runtime.tell({ slice: 'membership', type: 'gossipAnswered', gossip: decodeGossip(answer.gossip) })
+  }
+
+  private async sendProbe ({ probeId, address, gossip }: SendProbe): Promise<void> {
+    const answer = await this.client(address).probe({ gossip: encodeGossip(gossip) }, { timeoutMs: CALL_TIMEOUT_MS })
+    this.runtime.tell({
+      slice: 'membership',
+      type: 'probeAnswered',
+      probeId,
+      gossip: answer.gossip === undefined ? undefined : decodeGossip(answer.gossip)
+    })
+  }
+
+  private async sendIndirectProbe ({ probeId, via, target, targetAddress }: SendIndirectProbe): Promise<void> {
+    const { reachable } = await this.client(via).probeIndirect(
+      { target, targetAddress },
+      { timeoutMs: CALL_TIMEOUT_MS }
+    )
+    if (reachable) this.runtime.tell({ slice: 'membership', type: 'probeAnswered', probeId })
+  }
+
+  private answer (callId: CallId, gossip: GossipAnswer): void {
+    this.calls.answer(callId, gossip)
+  }
+
+  /** A call that fails has no event of its own: the timers of the membership notice the missing answer. */
+  private report (call: Promise<void>): void {
+    call.catch(() => {})
+  }
+
+  private client (address: Address): ReturnType<typeof createClient<typeof MembershipService>> {
+    return createClient(MembershipService, this.transports.get(address))
+  }
+}
