--- /dev/null
+++ b/packages/declaration/src/DeclarationDelta.ts
@@ -0,0 +1,15 @@
+import type { DataCentreId, RouteId, ServiceId, TeamId } from '@lavenderturn/types'
+import type { Declaration, DeclaredKeyHash } from './Declaration'
+
+/** What leads from one declaration to another. @public */
+export interface DeclarationDelta {
+  /** Entries that are new or different, in full. */
+  readonly changed: Declaration
+  readonly removed: {
+    readonly teams: readonly TeamId[]
+    readonly keys: readonly DeclaredKeyHash[]
+    readonly routes: readonly RouteId[]
+    readonly services: readonly ServiceId[]
+    readonly dataCentres: readonly DataCentreId[]
+  }
+}
--- /dev/null
+++ b/packages/declaration/src/tables/RouteTable.ts
@@ -0,0 +1,98 @@
+import type { RouteId } from '@lavenderturn/types'
+import type { RouteEntry } from '../ControlDocument'
+
+/** One path segment. Absent fields keep the many leaves small. */
+interface TrieNode {
+  children?: Map<string, TrieNode>
+  /** Routes whose prefix ends here, one for each method and one for any method. */
+  routes?: RouteEntry[]
+}
+
+/** Routes in a trie of path segments. @internal */
+export class RouteTable {
+  private readonly root: TrieNode = {}
+  private readonly byId = new Map<RouteId, RouteEntry>()
+
+  /** @param routes - the routes */
+  constructor (routes: Iterable<RouteEntry>) {
+    for (const route of routes) this.set(route)
+  }
+
+  /**
+   * @param method - HTTP method
+   * @param path - normalised path
+   * @returns the route with the longest prefix; at equal length the one that names the method
+   */
+  find (method: string, path: string): RouteEntry | undefined {
+    let node: TrieNode | undefined = this.root
+    let found = findInNode(node, method)
+    let start = 1
+    while (start < path.length) {
+      const slash = path.indexOf('/', start)
+      const end = slash < 0 ? path.length : slash
+      node = node.children?.get(path.slice(start, end))
+      if (node === undefined) return found
+      found = findInNode(node, method) ?? found
+      start = end + 1
+    }
+    return found
+  }
+
+  /**
+   * @param id - a route
+   * @returns the route, or undefined
+   */
+  get (id: RouteId): RouteEntry | undefined {
+    return this.byId.get(id)
+  }
+
+  /** @param route - a new route, or new values of one */
+  set (route: RouteEntry): void {
+    this.delete(route.id)
+    this.byId.set(route.id, route)
+    let node = this.root
+    for (const segment of listSegments(route.pathPrefix)) {
+      node.children ??= new Map()
+      let child = node.children.get(segment)
+      if (child === undefined) node.children.set(segment, child = {})
+      node = child
+    }
+    node.routes = [...node.routes ?? [], route]
+  }
+
+  /** @param id - a route; nothing happens if it is not in the table */
+  delete (id: RouteId): void {
+    const route = this.byId.get(id)
+    if (route === undefined) return
+    this.byId.delete(id)
+    removeRoute(this.root, route, listSegments(route.pathPrefix))
+  }
+
+  /** @returns all routes */
+  values (): IterableIterator<RouteEntry> {
+    return this.byId.values()
+  }
+}
+
+function findInNode ({ routes }: TrieNode, method: string): RouteEntry | undefined {
+  if (routes === undefined) return undefined
+  return routes.find((route) => route.method === method) ?? routes.find((route) => route.method === undefined)
+}
+
+function listSegments (pathPrefix: string): string[] {
+  return pathPrefix === '/' ? [] : pathPrefix.slice(1).split('/')
+}
+
+/** Removes a route and the nodes that are empty without it. */
+function removeRoute (node: TrieNode, route: RouteEntry, [segment, ...rest]: readonly string[]): void {
+  if (segment === undefined) {
+    const routes = node.routes?.filter((other) => other !== route) ?? []
+    node.routes = routes.length === 0 ? undefined : routes
+    return
+  }
+  const child = node.children?.get(segment)
+  if (child === undefined) return
+  removeRoute(child, route, rest)
+  if (child.routes === undefined && child.children === undefined) node.children!.delete(segment)
+  if (node.children!.size === 0) node.children = undefined
+}
