Decide admission, gray failure and crashing requests in the reducer

Admission served one FIFO for each backend server with its slots as the only bound, nothing was ever ejected, and a request that crashes backend servers was sent again without limit.

Admission now queues by team (deficit round robin), adapts a concurrency limit with slow start and hands work back that waited 2.5 s, so that its gateway checks the key again. Health keeps a weighted latency and error rate for each local backend server, compares it with the median that gateways send along, and ejects with a permit of the service's owner. Quarantine marks fingerprints that were in flight in a crash.

The two tests of the request path failed when the process was older than 2.5 s at the start of the node, because the state's time began at 0; createNode now starts it at the present time.

--- a/packages/decisions/src/Policies.ts
+++ b/packages/decisions/src/Policies.ts
@@ -1,8 +1,14 @@
+import { AdaptiveConcurrencyLimit } from './admission/AdaptiveConcurrencyLimit'
+import { type ConcurrencyLimit } from './admission/ConcurrencyLimit'
+import { type EjectionPolicy } from './health/EjectionPolicy'
 import { type EndpointPolicy } from './health/EndpointPolicy'
-import { RandomEndpointPolicy } from './health/RandomEndpointPolicy'
+import { OutlierEjection } from './health/OutlierEjection'
+import { PowerOfTwoChoices } from './health/PowerOfTwoChoices'
 
 /** Behaviour that varies between deployments and baselines. @public */
 export interface Policies {
+  readonly concurrency: ConcurrencyLimit
+  readonly ejection: EjectionPolicy
   readonly endpoint: EndpointPolicy
 }
 
@@ -16,6 +22,10 @@
  * @returns a complete set
  * @public
  */
-export function createPolicies ({ endpoint = new RandomEndpointPolicy() }: PolicyOptions = {}): Policies {
-  return { endpoint }
+export function createPolicies ({
+  concurrency = new AdaptiveConcurrencyLimit(),
+  ejection = new OutlierEjection(),
+  endpoint = new PowerOfTwoChoices()
+}: PolicyOptions = {}): Policies {
+  return { concurrency, ejection, endpoint }
 }
--- a/packages/decisions/src/admission/AdmissionEffect.ts
+++ b/packages/decisions/src/admission/AdmissionEffect.ts
@@ -1,4 +1,5 @@
-import type { Address, AttemptId, EndpointId, Millis, ResultName } from '@lavenderturn/types'
+import type { Address, AttemptId, BootId, EndpointId, Millis, ResultName } from '@lavenderturn/types'
+import type { LoadReport } from '../health/LoadReport'
 
 /** Sends an attempt to the backend server. @public */
 export interface Dispatch {
@@ -17,6 +18,18 @@
   readonly type: 'reject'
   readonly attemptId: AttemptId
   readonly result: ResultName
+  /** Absent when the endpoint is not announced here. */
+  readonly load?: LoadReport
+}
+
+/** Tells the gateway that a dispatched attempt failed, unless its answer has begun already. @public */
+export interface FailWork {
+  readonly slice: 'admission'
+  readonly type: 'failWork'
+  readonly attemptId: AttemptId
+  /** Boot id of the backend server if it died; such a request must not be retried automatically. */
+  readonly crashedBoot?: BootId
+  readonly load?: LoadReport
 }
 
 /** Cancels a dispatched attempt at the backend server. @public */
@@ -27,4 +40,4 @@
 }
 
 /** @public */
-export type AdmissionEffect = CancelDispatch | Dispatch | Reject
+export type AdmissionEffect = CancelDispatch | Dispatch | FailWork | Reject
--- a/packages/decisions/src/admission/AdmissionEvent.ts
+++ b/packages/decisions/src/admission/AdmissionEvent.ts
@@ -2,6 +2,7 @@
   Address, AttemptId, BootId, EndpointId, Fingerprint, Millis, RouteId, ServiceId, TeamId
 } from '@lavenderturn/types'
 import type { FailureReason } from '../gateway/GatewayEvent'
+import type { ServiceReference } from '../health/ServiceReference'
 import type { EventBase } from '../NodeEvent'
 
 /** A gateway forwarded a request to a backend server beside this node. @public */
@@ -15,6 +16,17 @@
   readonly fingerprint: Fingerprint
   /** Time left until the deadline of the request. */
   readonly timeout: Millis
+  /** Whether part of the body is still to come; `bodySent` follows once the backend server has all of it. */
+  readonly streamed?: boolean
+  /** What the gateway sees of the service's other endpoints. */
+  readonly reference?: ServiceReference
+}
+
+/** The whole body of an attempt has been sent to its backend server. @public */
+export interface BodySent extends EventBase {
+  readonly slice: 'admission'
+  readonly type: 'bodySent'
+  readonly attemptId: AttemptId
 }
 
 /** How a dispatched attempt ended. @public */
@@ -65,10 +77,21 @@
   readonly endpoint: EndpointId
 }
 
+/** A fresh connection to a backend server was tried after a failure. @public */
+export interface ServerProbed extends EventBase {
+  readonly slice: 'admission'
+  readonly type: 'serverProbed'
+  readonly endpoint: EndpointId
+  /** Whether the connection was accepted. */
+  readonly accepted: boolean
+}
+
 /** @public */
 export type AdmissionEvent =
+  | BodySent
   | QueueDeadlinePassed
   | ServerAnnounced
+  | ServerProbed
   | ServerWithdrawn
   | WorkArrived
   | WorkCancelled
--- /dev/null
+++ b/packages/decisions/src/admission/FixedConcurrencyLimit.ts
@@ -0,0 +1,13 @@
+import type { Millis } from '@lavenderturn/types'
+import { ConcurrencyLimit, type LimitState } from './ConcurrencyLimit'
+
+/** Baseline: a backend server may always fill its slots. @public */
+export class FixedConcurrencyLimit extends ConcurrencyLimit {
+  override start (slots: number, now: Millis): LimitState {
+    return {
+      limit: slots, slowStart: false, successes: 0, slowdown: 0, samples: 0, errorRate: 0, decreasedAt: now
+    }
+  }
+
+  override update (): void {}
+}
--- /dev/null
+++ b/packages/decisions/src/admission/endWork.ts
@@ -0,0 +1,114 @@
+import { observeEnd } from '../health/observeEnd'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { clearMark } from '../quarantine/clearMark'
+import type { ServerProbed, WorkEnded, WorkOutcome } from './AdmissionEvent'
+import type { LocalServer, Work } from './AdmissionState'
+import type { LimitSample } from './ConcurrencyLimit'
+import { confirmCrash, failBroken } from './confirmCrash'
+import { rejectQueue, rejectWork } from './rejectWork'
+import { restartServer } from './restartServer'
+import { recordTiming } from './RouteTiming'
+import { startQueued } from './startQueued'
+
+/** Status from which an answer counts as a failure of the backend server. */
+const SERVER_ERROR_STATUS = 500
+
+/**
+ * Takes the end of a dispatched attempt into account and gives its slot to the next.
+ *
+ * @param state - the node's state
+ * @param event - how the exchange ended
+ * @returns effects
+ * @internal
+ */
+export function endWork (state: NodeState, { attemptId, outcome }: WorkEnded): NodeEffect[] {
+  const work = state.admission.work.get(attemptId)
+  if (work === undefined) return []
+  state.admission.work.delete(attemptId)
+  const server = state.admission.servers.get(work.endpoint)
+  if (server === undefined) return []
+  server.inFlight -= 1
+  if (outcome.kind === 'answered') clearMark(state, work.fingerprint)
+  const effects = outcome.kind === 'failed'
+    ? handleFailure(state, server, work, outcome)
+    : noticeBoot(state, server, outcome)
+  effects.push(...observeWork(state, server, work, outcome))
+  return effects.concat(startQueued(state, server))
+}
+
+function noticeBoot (state: NodeState, server: LocalServer, outcome: WorkOutcome): NodeEffect[] {
+  if (outcome.kind !== 'answered' || outcome.bootId === undefined || outcome.bootId === server.bootId) return []
+  const effects = confirmCrash(state, server)
+  server.bootId = outcome.bootId
+  return effects.concat(restartServer(state, server))
+}
+
+function handleFailure (
+  state: NodeState,
+  server: LocalServer,
+  work: Work,
+  { reason, sent }: Extract<WorkOutcome, { kind: 'failed' }>
+): NodeEffect[] {
+  if (work.cancelled === true) return []
+  if (!sent) {
+    const rejected = rejectWork(state, work, 'noEndpoint')
+    return reason === 'connect' ? [...rejected, ...loseServer(state, server)] : rejected
+  }
+  // The gateway gets its answer after the probe, which tells whether the request may have killed the server.
+  server.broken.set(work.attemptId, work)
+  const { endpoint, address } = server
+  return [{ slice: 'health', type: 'probeServer', endpoint, address }]
+}
+
+/**
+ * Takes the result of a fresh connection into account. A reset alone is a fault of one connection; a reset and a
+ * refused connection mean that the backend server died.
+ *
+ * @param state - the node's state
+ * @param event - the result
+ * @returns effects
+ * @internal
+ */
+export function handleServerProbed (
+  state: NodeState,
+  { endpoint, accepted }: Pick<ServerProbed, 'endpoint' | 'accepted'>
+): NodeEffect[] {
+  const server = state.admission.servers.get(endpoint)
+  if (server === undefined) return []
+  if (!accepted) return loseServer(state, server)
+  const { effects } = failBroken(state, server, false)
+  if (server.reachable) return effects
+  return effects.concat(restartServer(state, server), startQueued(state, server))
+}
+
+function loseServer (state: NodeState, server: LocalServer): NodeEffect[] {
+  const effects = confirmCrash(state, server)
+  if (!server.reachable) return effects
+  server.reachable = false
+  const { endpoint, bootId } = server
+  return [
+    { slice: 'log', type: 'stateChanged', message: 'backend server refuses connections', fields: { endpoint, bootId } },
+    ...effects,
+    ...rejectQueue(state, server, 'noEndpoint')
+  ]
+}
+
+function observeWork (state: NodeState, server: LocalServer, work: Work, outcome: WorkOutcome): NodeEffect[] {
+  if (work.cancelled === true) return []
+  // A silent connection is a fault of the path: a fresh connection to the same backend server works.
+  if (outcome.kind === 'failed' && outcome.reason === 'silent') return []
+  const kind = classify(outcome)
+  const serviceMs = work.servedFrom === undefined ? undefined : state.now - work.servedFrom
+  const timed = kind === 'success' && serviceMs !== undefined
+  const slowdown = timed ? recordTiming(server.timings, work.route, serviceMs) : undefined
+  const sample: LimitSample = { kind, slowdown, atLimit: work.atLimit ?? false }
+  state.policies.concurrency.update(server.limit, server.slots, sample, state.now)
+  if (kind === 'shed') return []
+  return observeEnd(state, server, { failed: kind === 'error', serviceMs: timed ? serviceMs : undefined })
+}
+
+function classify (outcome: WorkOutcome): LimitSample['kind'] {
+  if (outcome.kind === 'shed') return 'shed'
+  return outcome.kind === 'answered' && outcome.status < SERVER_ERROR_STATUS ? 'success' : 'error'
+}
--- /dev/null
+++ b/packages/decisions/src/admission/handleDocumentChanged.ts
@@ -0,0 +1,24 @@
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { rejectQueue } from './rejectWork'
+import { restartServer } from './restartServer'
+import { startQueued } from './startQueued'
+import { isDataCentreOut } from './takesNewWork'
+
+/**
+ * Reacts to a new control document. When the node's data centre was taken out, waiting work is handed back at once;
+ * when it returns, every backend server is treated as cold, so that gateways that all return at the same time queue
+ * here and cause no surge.
+ *
+ * @param state - the node's state, with the new document in force
+ * @returns effects
+ * @public
+ */
+export function handleDocumentChanged (state: NodeState): NodeEffect[] {
+  const out = isDataCentreOut(state)
+  if (out === state.admission.dataCentreOut) return []
+  state.admission.dataCentreOut = out
+  const servers = [...state.admission.servers.values()]
+  if (out) return servers.flatMap((server) => rejectQueue(state, server, 'draining'))
+  return servers.flatMap((server) => [...restartServer(state, server), ...startQueued(state, server)])
+}
--- a/packages/decisions/src/admission/startQueued.ts
+++ b/packages/decisions/src/admission/startQueued.ts
@@ -2,9 +2,14 @@
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import type { LocalServer, Work } from './AdmissionState'
+import { MAX_QUEUE_AGE } from './queueAge'
+import { rejectWork } from './rejectWork'
+import { estimateCost } from './RouteTiming'
+import { takesNewWork } from './takesNewWork'
+import { dequeue } from './TeamQueues'
 
 /**
- * Dispatches queued work while the backend server has free slots.
+ * Dispatches queued work while the backend server's concurrency limit allows it.
  *
  * @param state - the node's state
  * @param server - the backend server
@@ -13,8 +18,13 @@
  */
 export function startQueued (state: NodeState, server: LocalServer): NodeEffect[] {
   const effects: NodeEffect[] = []
-  while (server.inFlight < server.slots && server.queue.length > 0) {
-    effects.push(...dispatchWork(state, server, server.queue.shift()!))
+  if (!takesNewWork(state, server) || !server.reachable) return effects
+  while (server.inFlight < server.limit.limit) {
+    const work = dequeue(server.queues, ({ route }) => estimateCost(server.timings, route))
+    if (work === undefined) break
+    // A process that was paused resumes before its timers have fired.
+    const overAge = state.now - work.arrivedAt > MAX_QUEUE_AGE
+    effects.push(...overAge ? rejectWork(state, work, 'unconfirmed') : dispatchWork(state, server, work))
   }
   return effects
 }
@@ -22,7 +32,10 @@
 function dispatchWork (state: NodeState, server: LocalServer, work: Work): NodeEffect[] {
   work.phase = 'dispatched'
   work.dispatchedAt = state.now
+  work.bootId = server.bootId
+  if (!work.streamed) work.servedFrom = state.now
   server.inFlight += 1
+  work.atLimit = server.inFlight >= server.limit.limit
   return [
     { slice: 'timer', type: 'clear', id: toId(`queue/${work.attemptId}`) },
     {
--- a/packages/decisions/src/control/reduceControl.ts
+++ b/packages/decisions/src/control/reduceControl.ts
@@ -1,3 +1,4 @@
+import { handleDocumentChanged } from '../admission/handleDocumentChanged'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import type { ControlEvent, DocumentAccepted } from './ControlEvent'
@@ -19,10 +20,13 @@
   // Revisions only rise: an older document can arrive late from a peer that was paused.
   if (current !== undefined && document.revision <= current.revision) return []
   state.control.document = document
-  return [{
-    slice: 'log',
-    type: 'stateChanged',
-    message: 'control document in force',
-    fields: { revision: document.revision }
-  }]
+  return [
+    {
+      slice: 'log',
+      type: 'stateChanged',
+      message: 'control document in force',
+      fields: { revision: document.revision }
+    },
+    ...handleDocumentChanged(state)
+  ]
 }
--- a/packages/decisions/src/gateway/GatewayEffect.ts
+++ b/packages/decisions/src/gateway/GatewayEffect.ts
@@ -2,6 +2,7 @@
   Address, AttemptId, EndpointId, Fingerprint, Millis, NodeId, RequestId, ResultName, RouteId, RunState, ServiceId,
   TeamId
 } from '@lavenderturn/types'
+import type { ServiceReference } from '../health/ServiceReference'
 
 /** Sends the request to the admission of a node. @public */
 export interface Forward {
@@ -20,6 +21,8 @@
   /** Time left until the deadline. */
   readonly timeout: Millis
   readonly bodyLimitBytes: number
+  /** What this gateway sees of the service's other endpoints, for the admission to compare with. */
+  readonly reference?: ServiceReference
 }
 
 /** Drops an attempt; its connection is not used again. @public */
--- a/packages/decisions/src/gateway/GatewayEvent.ts
+++ b/packages/decisions/src/gateway/GatewayEvent.ts
@@ -1,5 +1,5 @@
 import type {
-  AttemptId, Fingerprint, IdempotencyKey, KeyHash, Millis, RequestId, ResultName
+  AttemptId, BootId, Fingerprint, IdempotencyKey, KeyHash, Millis, RequestId, ResultName
 } from '@lavenderturn/types'
 import type { LoadReport } from '../health/LoadReport'
 import type { EventBase } from '../NodeEvent'
@@ -75,13 +75,17 @@
   readonly load?: LoadReport
 }
 
-/** Admission, or the backend server itself, stated that it did not run the request. @public */
+/** Admission, or the backend server itself, gave a result in place of an answer; mostly that it did not run. @public */
 export interface ForwardRefused extends EventBase {
   readonly slice: 'gateway'
   readonly type: 'forwardRefused'
   readonly requestId: RequestId
   readonly attemptId: AttemptId
   readonly result: ResultName
+  /** With `outcomeUnknown`: the backend server died during the attempt, and this was its boot id. */
+  readonly crashedBoot?: BootId
+  /** Whether the body can be sent again; with results that do not state "not run". */
+  readonly replayable?: boolean
   readonly load?: LoadReport
 }
 
--- a/packages/decisions/src/gateway/GatewayState.ts
+++ b/packages/decisions/src/gateway/GatewayState.ts
@@ -1,23 +1,33 @@
 import type {
-  AttemptId, EndpointId, Fingerprint, IdempotencyKey, Millis, RequestId, ResultName, TeamId
+  AttemptId, EndpointId, Fingerprint, IdempotencyKey, KeyHash, Millis, NodeId, RequestId, ResultName, TeamId
 } from '@lavenderturn/types'
 import type { RouteEntry } from '@lavenderturn/declaration'
 
 /** What a request is waiting for. @public */
 export type RequestPhase = 'charging' | 'claiming' | 'forwarding' | 'answering'
 
+/** An attempt on its way. @public */
+export interface ForwardedAttempt {
+  readonly endpoint: EndpointId
+  readonly node: NodeId
+  readonly at: Millis
+}
+
 /** One request in flight at the gateway. @public */
 export interface GatewayRequest {
   readonly id: RequestId
   readonly route: RouteEntry
   /** Absent on open routes. */
   readonly team?: TeamId
+  readonly keyHash?: KeyHash
   readonly fingerprint: Fingerprint
   readonly idempotencyKey?: IdempotencyKey
   readonly deadline: Millis
   phase: RequestPhase
   attempts: number
   attempt?: AttemptId
+  /** Where the attempt went, until its end has been reported to health. */
+  forwarded?: ForwardedAttempt
   /** Endpoints that refused or failed, which a retry avoids. */
   readonly tried: Set<EndpointId>
   /** Whether a backend server may have received any attempt so far. */
--- a/packages/decisions/src/gateway/admitRequest.ts
+++ b/packages/decisions/src/gateway/admitRequest.ts
@@ -72,6 +72,7 @@
     id: event.requestId,
     route,
     team,
+    keyHash: event.keyHash,
     fingerprint: event.fingerprint,
     idempotencyKey: event.idempotencyKey,
     deadline: addMillis(event.at, shorter(route.deadline, event.timeout)),
--- a/packages/decisions/src/gateway/endRequest.ts
+++ b/packages/decisions/src/gateway/endRequest.ts
@@ -3,6 +3,7 @@
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import type { GatewayRequest } from './GatewayState'
+import { reportAttempt } from './reportAttempt'
 
 /**
  * Forgets a request and drops the attempt that still runs for it.
@@ -16,6 +17,7 @@
 export function endRequest (state: NodeState, request: GatewayRequest, outcome: ClaimOutcome): NodeEffect[] {
   state.gateway.requests.delete(request.id)
   const effects: NodeEffect[] = [{ slice: 'timer', type: 'clear', id: toId(`deadline/${request.id}`) }]
+  effects.push(...reportAttempt(state, request, { kind: 'cancelled' }))
   if (request.attempt !== undefined) {
     effects.push({ slice: 'gateway', type: 'cancelForward', requestId: request.id, attemptId: request.attempt })
   }
--- a/packages/decisions/src/gateway/forwardRequest.ts
+++ b/packages/decisions/src/gateway/forwardRequest.ts
@@ -1,5 +1,7 @@
 import { type AttemptId, millis, toId } from '@lavenderturn/types'
-import { listCandidates } from '../health/listCandidates'
+import { noteForwarded } from '../health/attemptEnded'
+import { chooseEndpoint } from '../health/chooseEndpoint'
+import { computeReference } from '../health/ServiceReference'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import type { GatewayRequest } from './GatewayState'
@@ -14,14 +16,16 @@
  * @internal
  */
 export function forwardRequest (state: NodeState, request: GatewayRequest): NodeEffect[] {
-  const candidates = listCandidates(state, request.route.service, request.tried)
-  if (candidates.length === 0) return refuseRequest(state, request, { result: request.lastResult ?? 'noEndpoint' })
-  const { endpoint, member } = state.policies.endpoint.choose(candidates, state.random)
+  const chosen = chooseEndpoint(state, request.route.service, request.tried)
+  if (chosen === undefined) return refuseRequest(state, request, { result: request.lastResult ?? 'noEndpoint' })
+  const { endpoint, member } = chosen
   request.phase = 'forwarding'
   request.attempts += 1
   request.tried.add(endpoint.id)
   const attemptId = toId<AttemptId>(`${state.identity.nodeId}/${state.gateway.nextAttempt++}`)
   request.attempt = attemptId
+  request.forwarded = { endpoint: endpoint.id, node: member.record.nodeId, at: state.now }
+  noteForwarded(state, endpoint.id)
   return [{
     slice: 'gateway',
     type: 'forward',
@@ -35,6 +39,7 @@
     team: request.team,
     fingerprint: request.fingerprint,
     timeout: millis(request.deadline - state.now),
-    bodyLimitBytes: request.route.bodyLimitBytes
+    bodyLimitBytes: request.route.bodyLimitBytes,
+    reference: computeReference(state, endpoint.service, endpoint.id)
   }]
 }
--- a/packages/decisions/src/gateway/handleForwardFailure.ts
+++ b/packages/decisions/src/gateway/handleForwardFailure.ts
@@ -1,28 +1,40 @@
-import { type ResultName } from '@lavenderturn/types'
+import { type ResultName, resultCodes } from '@lavenderturn/types'
+import { isFresh } from '../control/isFresh'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { isSuspect } from '../quarantine/isQuarantined'
+import { markCrash } from '../quarantine/markCrash'
 import { forwardRequest } from './forwardRequest'
 import type { ForwardFailed, ForwardRefused } from './GatewayEvent'
 import type { GatewayRequest } from './GatewayState'
 import { refuseRequest } from './refuseRequest'
+import { reportAttempt } from './reportAttempt'
 
 /** Attempts of one request, the first included. */
 const MAX_ATTEMPTS = 3
 
 /**
- * Handles an attempt that the other node, or the backend server, says it did not run.
+ * Handles a result that the other node, or the backend server, gave in place of an answer.
  *
  * @param state - the node's state
  * @param request - the request
- * @param event - the refusal
+ * @param event - the result
  * @returns effects
  * @internal
  */
 export function handleForwardRefused (state: NodeState, request: GatewayRequest, event: ForwardRefused): NodeEffect[] {
   if (request.attempt !== event.attemptId) return []
   request.attempt = undefined
-  return retryOrRefuse(state, request, event.result)
+  const endpoint = request.forwarded?.endpoint
+  const effects = reportAttempt(state, request, { kind: 'replied' }, event.load)
+  if (event.crashedBoot !== undefined && endpoint !== undefined) {
+    effects.push(...markCrash(state, request.fingerprint, { endpoint, bootId: event.crashedBoot }))
+  }
+  if (resultCodes[event.result].run === 'not-run') {
+    if (event.result === 'unconfirmed') return effects.concat(confirmRequest(state, request))
+    return effects.concat(retryOrRefuse(state, request, event.result))
+  }
+  return effects.concat(handleUnknown(state, request, event.result, event.replayable ?? false))
 }
 
 /**
@@ -37,16 +49,43 @@
 export function handleForwardFailed (state: NodeState, request: GatewayRequest, event: ForwardFailed): NodeEffect[] {
   if (request.attempt !== event.attemptId) return []
   request.attempt = undefined
-  if (!event.sent) return retryOrRefuse(state, request, 'noEndpoint')
-  request.mayHaveRun = true
+  const effects = reportAttempt(state, request, { kind: 'failed', reason: event.reason })
+  if (!event.sent) return effects.concat(retryOrRefuse(state, request, 'noEndpoint'))
   const result = event.reason === 'truncated' ? 'answerIncomplete' : 'outcomeUnknown'
-  if (!request.route.repeatable || !event.replayable) return refuseRequest(state, request, { result })
+  return effects.concat(handleUnknown(state, request, result, event.replayable))
+}
+
+function handleUnknown (
+  state: NodeState,
+  request: GatewayRequest,
+  result: ResultName,
+  replayable: boolean
+): NodeEffect[] {
+  request.mayHaveRun = true
+  if (!request.route.repeatable || !replayable) return refuseRequest(state, request, { result })
   return retryOrRefuse(state, request, result)
 }
 
+/**
+ * Sends a request again that waited in a queue for so long that its key may have been withdrawn since. The wait is
+ * no fault of the endpoint, and the request did not fail, so that no retry is used up.
+ */
+function confirmRequest (state: NodeState, request: GatewayRequest): NodeEffect[] {
+  if (!isStillAllowed(state, request)) return refuseRequest(state, request, { result: 'unconfirmed' })
+  if (state.now >= request.deadline) return refuseRequest(state, request, { result: 'deadlineInQueue' })
+  request.tried.clear()
+  request.attempts -= 1
+  return forwardRequest(state, request)
+}
+
+function isStillAllowed (state: NodeState, { team, keyHash }: GatewayRequest): boolean {
+  if (team === undefined) return true
+  return isFresh(state) && keyHash !== undefined && state.control.document?.findTeamByKey(keyHash) === team
+}
+
 function retryOrRefuse (state: NodeState, request: GatewayRequest, result: ResultName): NodeEffect[] {
   request.lastResult = result
-  if (!mayRetry(state, request)) return refuseRequest(state, request, { result })
+  if (!mayRetry(state, request) || !isStillAllowed(state, request)) return refuseRequest(state, request, { result })
   state.gateway.retryBudget -= 1
   return forwardRequest(state, request)
 }
--- a/packages/decisions/src/gateway/reduceGateway.ts
+++ b/packages/decisions/src/gateway/reduceGateway.ts
@@ -9,6 +9,7 @@
 import type { GatewayRequest } from './GatewayState'
 import { handleForwardFailed, handleForwardRefused } from './handleForwardFailure'
 import { refuseRequest } from './refuseRequest'
+import { reportAttempt } from './reportAttempt'
 
 /**
  * @param state - the node's state
@@ -32,9 +33,7 @@
     case 'answerEnded': return endAnswer(state, event)
     case 'bodyTooLarge': return refuseRequest(state, request, { result: 'bodyTooLarge' })
     case 'callerGone': return dropRequest(state, request)
-    case 'deadlinePassed': return refuseRequest(state, request, {
-      result: request.mayHaveRun || request.attempt !== undefined ? 'deadlineAfterDispatch' : 'deadlineInQueue'
-    })
+    case 'deadlinePassed': return expireRequest(state, request)
   }
 }
 
@@ -47,7 +46,8 @@
   const effects: NodeEffect[] = [
     // The deadline bounds the wait for an answer; a long answer that makes progress is not cut.
     { slice: 'timer', type: 'clear', id: toId(`deadline/${request.id}`) },
-    { slice: 'gateway', type: 'relay', requestId: event.requestId, attemptId: event.attemptId }
+    { slice: 'gateway', type: 'relay', requestId: event.requestId, attemptId: event.attemptId },
+    ...reportAttempt(state, request, { kind: 'replied' }, event.load)
   ]
   return effects
 }
@@ -59,6 +59,14 @@
   return endRequest(state, request, { kind: 'answered', status: request.status! })
 }
 
+function expireRequest (state: NodeState, request: GatewayRequest): NodeEffect[] {
+  const result = request.mayHaveRun || request.attempt !== undefined ? 'deadlineAfterDispatch' : 'deadlineInQueue'
+  return [
+    ...reportAttempt(state, request, { kind: 'failed', reason: 'timeout' }),
+    ...refuseRequest(state, request, { result })
+  ]
+}
+
 function dropRequest (state: NodeState, request: GatewayRequest): NodeEffect[] {
   const mayHaveRun = request.mayHaveRun || request.attempt !== undefined
   return endRequest(state, request, { kind: mayHaveRun ? 'unknown' : 'not-run' })
--- a/packages/decisions/src/health/HealthEvent.ts
+++ b/packages/decisions/src/health/HealthEvent.ts
@@ -1,14 +1,85 @@
-import type { EndpointId } from '@lavenderturn/types'
+import type { CallId, EndpointId, Millis, NodeId, ServiceId } from '@lavenderturn/types'
+import type { FailureReason } from '../gateway/GatewayEvent'
 import type { EventBase } from '../NodeEvent'
 import type { LoadReport } from './LoadReport'
 
-/** A load report of an endpoint came with an answer. @public */
-export interface LoadReported extends EventBase {
+/** How a gateway's attempt ended. @public */
+export type AttemptOutcome =
+  /** The node replied, with an answer or a refusal. */
+  | { readonly kind: 'replied' }
+  | { readonly kind: 'failed', readonly reason: FailureReason }
+  /** The gateway dropped the attempt. */
+  | { readonly kind: 'cancelled' }
+
+/** An attempt of this gateway ended. @public */
+export interface AttemptEnded extends EventBase {
+  readonly slice: 'health'
+  readonly type: 'attemptEnded'
+  readonly endpoint: EndpointId
+  readonly node: NodeId
+  readonly outcome: AttemptOutcome
+  /** Time since the attempt was forwarded. */
+  readonly latency: Millis
+  readonly load?: LoadReport
+}
+
+/** The owner's answer to a request for a permit. @public */
+export type PermitAnswer =
+  | { readonly kind: 'granted', readonly lifetime: Millis }
+  /** `floor`: the ejection would leave too few slots; `unready`: the owner may not give permits now. */
+  | { readonly kind: 'denied', readonly reason: 'floor' | 'unready' }
+
+/** Another node, or this one, asks this node as the owner for a permit. @public */
+export interface PermitAsked extends EventBase {
   readonly slice: 'health'
-  readonly type: 'loadReported'
+  readonly type: 'permitAsked'
+  readonly callId: CallId
+  readonly holder: NodeId
+  readonly service: ServiceId
   readonly endpoint: EndpointId
-  readonly load: LoadReport
+  /** By the holder's clock. */
+  readonly askedAt: Millis
+}
+
+/** The holder of a permit gives it back. @public */
+export interface PermitReleased extends EventBase {
+  readonly slice: 'health'
+  readonly type: 'permitReleased'
+  readonly holder: NodeId
+  readonly service: ServiceId
+  readonly endpoint: EndpointId
+  /** By the holder's clock. */
+  readonly askedAt: Millis
+}
+
+/** The owner answered this node's request for a permit. @public */
+export interface PermitAnswered extends EventBase {
+  readonly slice: 'health'
+  readonly type: 'permitAnswered'
+  readonly endpoint: EndpointId
+  readonly askedAt: Millis
+  readonly answer: PermitAnswer
+}
+
+/** The owner did not answer this node's request for a permit. @public */
+export interface PermitUnanswered extends EventBase {
+  readonly slice: 'health'
+  readonly type: 'permitUnanswered'
+  readonly endpoint: EndpointId
+  readonly askedAt: Millis
+}
+
+/** Time to look at what no response reports: overdue requests, permits and trials. @public */
+export interface HealthTicked extends EventBase {
+  readonly slice: 'health'
+  readonly type: 'ticked'
 }
 
 /** @public */
-export type HealthEvent = LoadReported
+export type HealthEvent =
+  | AttemptEnded
+  | HealthTicked
+  | PermitAnswered
+  | PermitAsked
+  | PermitReleased
+  | PermitUnanswered
--- a/packages/decisions/src/health/reduceHealth.ts
+++ b/packages/decisions/src/health/reduceHealth.ts
@@ -1,6 +1,10 @@
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
+import { handleAttemptEnded } from './attemptEnded'
 import type { HealthEvent } from './HealthEvent'
+import { handlePermitAnswered, handlePermitUnanswered } from './permitHolder'
+import { answerPermit, handlePermitReleased } from './permitOwner'
+import { tickHealth } from './tickHealth'
 
 /**
  * @param state - the node's state
@@ -10,8 +14,11 @@
  */
 export function reduceHealth (state: NodeState, event: HealthEvent): NodeEffect[] {
   switch (event.type) {
-    case 'loadReported':
-      state.health.loads.set(event.endpoint, event.load)
-      return []
+    case 'attemptEnded': return handleAttemptEnded(state, event)
+    case 'permitAsked': return answerPermit(state, event)
+    case 'permitReleased': return handlePermitReleased(state, event)
+    case 'permitAnswered': return handlePermitAnswered(state, event)
+    case 'permitUnanswered': return handlePermitUnanswered(state, event)
+    case 'ticked': return tickHealth(state)
   }
 }
--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -1,7 +1,9 @@
 import type { OutwardEffect } from '../NodeEffect'
 import type { NodeEvent } from '../NodeEvent'
 import type { NodeState } from '../NodeState'
+import { assertFloor } from './assertFloor'
 import { assertSlotsRespected } from './assertSlotsRespected'
+import { assertTakesNewWork } from './assertTakesNewWork'
 
 /**
  * Checks the guarantees that one step can break. Each check looks only at what the step touched, so that it can stay
@@ -15,6 +17,12 @@
  */
 export function assertInvariants (state: NodeState, event: NodeEvent, effects: readonly OutwardEffect[]): void {
   for (const effect of effects) {
-    if (effect.slice === 'admission' && effect.type === 'dispatch') assertSlotsRespected(state, effect.endpoint)
+    if (effect.slice === 'admission' && effect.type === 'dispatch') {
+      assertSlotsRespected(state, effect.endpoint)
+      assertTakesNewWork(state, effect.attemptId)
+    }
+    if (effect.slice === 'health' && effect.type === 'answerPermit' && effect.answer.kind === 'granted') {
+      assertFloor(state, effect.service)
+    }
   }
 }
--- a/packages/decisions/src/quarantine/isQuarantined.ts
+++ b/packages/decisions/src/quarantine/isQuarantined.ts
@@ -1,5 +1,6 @@
 import type { Fingerprint } from '@lavenderturn/types'
 import type { NodeState } from '../NodeState'
+import { countCrashes, QUARANTINE_TIME } from './markCrash'
 
 /**
  * @param state - the node's state
@@ -7,8 +8,9 @@
  * @returns whether requests like it have crashed too many backend servers
  * @public
  */
-export function isQuarantined (state: NodeState, fingerprint: Fingerprint): boolean {
-  return false
+export function isQuarantined ({ quarantine, now }: NodeState, fingerprint: Fingerprint): boolean {
+  const until = quarantine.marks.get(fingerprint)?.quarantinedUntil
+  return until !== undefined && now < until
 }
 
 /**
@@ -18,5 +20,7 @@
  * @public
  */
 export function isSuspect (state: NodeState, fingerprint: Fingerprint): boolean {
-  return false
+  const mark = state.quarantine.marks.get(fingerprint)
+  if (mark === undefined || state.now - mark.lastCrashAt >= QUARANTINE_TIME) return false
+  return countCrashes(mark) > 0 || isQuarantined(state, fingerprint)
 }
--- a/packages/decisions/src/quarantine/reduceQuarantine.ts
+++ b/packages/decisions/src/quarantine/reduceQuarantine.ts
@@ -1,6 +1,8 @@
+import { millis } from '@lavenderturn/types'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
-import type { QuarantineEvent } from './QuarantineEvent'
+import { addCrashes, judgeMark, markCrash, QUARANTINE_TIME } from './markCrash'
+import type { CrashObserved, DescribedMark, MarksHeard, QuarantineEvent } from './QuarantineEvent'
 
 /**
  * @param state - the node's state
@@ -9,5 +11,26 @@
  * @internal
  */
 export function reduceQuarantine (state: NodeState, event: QuarantineEvent): NodeEffect[] {
-  return []
+  switch (event.type) {
+    case 'crashObserved': return markCrashed(state, event)
+    case 'marksHeard': return mergeMarks(state, event)
+  }
+}
+
+function markCrashed (state: NodeState, { endpoint, bootId, fingerprints }: CrashObserved): NodeEffect[] {
+  return [...new Set(fingerprints)].flatMap((fingerprint) => markCrash(state, fingerprint, { endpoint, bootId }))
+}
+
+function mergeMarks (state: NodeState, { marks }: MarksHeard): NodeEffect[] {
+  return marks.filter(({ age }) => age < QUARANTINE_TIME).flatMap((described) => mergeMark(state, described))
+}
+
+function mergeMark (state: NodeState, { fingerprint, crashes, cleared, age }: DescribedMark): NodeEffect[] {
+  const known = state.quarantine.marks.get(fingerprint)
+  const isNew = known === undefined || crashes.some((crash) => !known.crashes.has(crash))
+  // Each hop of gossip adds a little to the age, so only a mark with a new crash sets the time.
+  const crashedAt = isNew ? millis(state.now - age) : known.lastCrashAt
+  const mark = addCrashes(state, fingerprint, crashes, crashedAt)
+  for (const crash of cleared) mark.cleared.add(crash)
+  return isNew ? judgeMark(mark, fingerprint) : []
 }
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -1,9 +1,12 @@
-import type { Dispatch, LoadReport, OutwardEffect, WorkOutcome } from '@lavenderturn/decisions'
-import { type AttemptId, type EndpointId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
+import {
+  describeLoad, type Dispatch, type FailWork, type LoadReport, type OutwardEffect, type Reject, type WorkOutcome
+} from '@lavenderturn/decisions'
+import { type AttemptId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
 import { pipeline } from 'node:stream/promises'
 import { Agent, type Dispatcher } from 'undici'
 import { EffectHandler } from '../EffectHandler'
 import { headers, selectHeaders } from '../headers'
+import { isConnectError } from '../isConnectError'
 import { formatLoad } from '../loadHeader'
 import type { Runtime } from '../Runtime'
 import type { ForwardExchange } from './ForwardExchange'
@@ -40,7 +43,10 @@
         void this.dispatch(effect, exchange)
         break
       case 'reject':
-        if (exchange !== undefined) this.reject(effect.attemptId, exchange, effect.result)
+        if (exchange !== undefined) this.reject(effect.attemptId, exchange, effect)
+        break
+      case 'failWork':
+        if (exchange !== undefined) this.fail(effect, exchange)
         break
       case 'cancelDispatch':
         exchange?.abort?.abort()
@@ -51,9 +57,22 @@
     await this.agent.close()
   }
 
-  private reject (attemptId: AttemptId, { res }: ForwardExchange, result: ResultName): void {
+  private reject (attemptId: AttemptId, { res }: ForwardExchange, { result, load }: Reject): void {
+    this.exchanges.delete(attemptId)
+    const status = resultCodes[result].status
+    res.writeHead(status, { [headers.attempt]: attemptId, [headers.result]: result, ...formatLoadHeader(load) })
+    res.end()
+  }
+
+  private fail ({ attemptId, crashedBoot, load }: FailWork, { res }: ForwardExchange): void {
     this.exchanges.delete(attemptId)
-    res.writeHead(resultCodes[result].status, { [headers.attempt]: attemptId, [headers.result]: result })
+    const result: ResultName = 'outcomeUnknown'
+    res.writeHead(resultCodes[result].status, {
+      [headers.attempt]: attemptId,
+      [headers.result]: result,
+      ...(crashedBoot === undefined ? {} : { [headers.crashedBoot]: crashedBoot }),
+      ...formatLoadHeader(load)
+    })
     res.end()
   }
 
@@ -61,7 +80,8 @@
     const outcome = exchange === undefined
       ? { kind: 'failed', reason: 'reset', sent: false } as const
       : await this.exchangeWithServer(effect, exchange)
-    this.exchanges.delete(effect.attemptId)
+    // A failure is answered by `failWork` or `reject`, unless the answer has begun.
+    if (outcome.kind === 'answered' || exchange?.res.headersSent === true) this.exchanges.delete(effect.attemptId)
     this.runtime.dispatch({ slice: 'admission', type: 'workEnded', attemptId: effect.attemptId, outcome })
   }
 
@@ -80,7 +100,7 @@
       res.writeHead(response.statusCode, {
         ...selectHeaders(response.headers),
         [headers.attempt]: effect.attemptId,
-        [headers.load]: formatLoad(this.describeLoad(effect.endpoint))
+        ...formatLoadHeader(this.runtime.query((state) => describeLoad(state, effect.endpoint, effect.attemptId)))
       })
       await pipeline(response.body, res)
       const bootId = response.headers[headers.bootId]
@@ -89,21 +109,16 @@
         status: response.statusCode,
         bootId: typeof bootId === 'string' ? toId(bootId) : undefined
       }
-    } catch {
-      res.destroy()
-      return { kind: 'failed', reason: 'reset', sent: true }
+    } catch (err) {
+      if (res.headersSent) res.destroy()
+      const sent = !isConnectError(err)
+      return { kind: 'failed', reason: sent ? 'reset' : 'connect', sent }
     }
   }
+}
 
-  private describeLoad (endpoint: EndpointId): LoadReport {
-    return this.runtime.query(({ admission }) => {
-      const server = admission.servers.get(endpoint)
-      const slots = server?.slots ?? 0
-      return {
-        slots, limit: slots, inFlight: server?.inFlight ?? 0, queued: server?.queue.length ?? 0, verdict: 'healthy'
-      }
-    })
-  }
+function formatLoadHeader (load: LoadReport | undefined): Record<string, string> {
+  return load === undefined ? {} : { [headers.load]: formatLoad(load) }
 }
 
 function hasBody (received: Readonly<Record<string, string | string[] | undefined>>): boolean {
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -2,9 +2,14 @@
 import type { Server } from 'node:http'
 import { AdmissionHandler } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
+import { ProcessClock } from './Clock'
 import { createCallerServer } from './gateway/createCallerServer'
 import { GatewayHandler } from './gateway/GatewayHandler'
+import { createHealthRoutes } from './health/createHealthRoutes'
+import { HealthHandler } from './health/HealthHandler'
 import { LogHandler, type LogHandlerOptions } from './LogHandler'
+import type { AddRoutes } from './peers/createControlServer'
+import { PeerTransports } from './peers/PeerTransports'
 import { Runtime } from './Runtime'
 import { TimerHandler } from './TimerHandler'
 
@@ -20,6 +25,10 @@
   readonly runtime: Runtime
   readonly callerServer: Server
   readonly forwardServer: Server
+  /** Connections to other nodes; closed by the program that stops the node. */
+  readonly peers: PeerTransports
+  /** Calls of the slices, for the control port. */
+  readonly controlRoutes: readonly AddRoutes[]
 }
 
 /**
@@ -30,14 +39,21 @@
  * @public
  */
 export function createNode ({ identity, seed, policies, log }: NodeOptions): Node {
-  const runtime = new Runtime({ state: createNodeState({ identity, seed, policies }) })
+  const runtime = new Runtime({
+    // The monotonic clock starts with the process, which may be older than the node.
+    state: createNodeState({ identity, now: new ProcessClock().now(), seed, policies })
+  })
   const gateway = new GatewayHandler(runtime)
   const admission = new AdmissionHandler(runtime)
-  for (const handler of [gateway, admission, new TimerHandler(runtime), new LogHandler({ log })]) {
+  const peers = new PeerTransports()
+  const health = new HealthHandler({ runtime, peers, nodeId: identity.nodeId })
+  for (const handler of [gateway, admission, health, new TimerHandler(runtime), new LogHandler({ log })]) {
     runtime.addHandler(handler)
   }
   return {
     runtime,
+    peers,
+    controlRoutes: [createHealthRoutes({ runtime, handler: health })],
     callerServer: createCallerServer({ runtime, handler: gateway }),
     forwardServer: createForwardServer({ runtime, handler: admission })
   }
--- a/packages/runtime/src/gateway/GatewayHandler.ts
+++ b/packages/runtime/src/gateway/GatewayHandler.ts
@@ -1,11 +1,12 @@
 import type { Forward, OutwardEffect } from '@lavenderturn/decisions'
-import type { RequestId, ResultName } from '@lavenderturn/types'
+import { type RequestId, type ResultName, toId } from '@lavenderturn/types'
 import { Readable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
-import { Agent, type Dispatcher, errors } from 'undici'
+import { Agent, type Dispatcher } from 'undici'
 import { EffectHandler } from '../EffectHandler'
 import { headers, selectHeaders } from '../headers'
-import { parseLoad } from '../loadHeader'
+import { isConnectError } from '../isConnectError'
+import { formatReference, parseLoad } from '../loadHeader'
 import { readPrefix } from '../readPrefix'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
@@ -103,8 +104,16 @@
     const result = response.headers[headers.result]
     if (result !== undefined) {
       await response.body.dump()
+      const crashedBoot = response.headers[headers.crashedBoot]
       this.runtime.dispatch({
-        slice: 'gateway', type: 'forwardRefused', requestId, attemptId, result: String(result) as ResultName, load
+        slice: 'gateway',
+        type: 'forwardRefused',
+        requestId,
+        attemptId,
+        result: String(result) as ResultName,
+        crashedBoot: typeof crashedBoot === 'string' ? toId(crashedBoot) : undefined,
+        replayable: !exchange.bodyConsumed,
+        load
       })
       return
     }
@@ -143,7 +152,8 @@
     [headers.endpoint]: effect.endpoint,
     [headers.deadline]: String(Math.round(effect.timeout)),
     [headers.fingerprint]: effect.fingerprint,
-    ...(effect.team === undefined ? {} : { [headers.team]: effect.team })
+    ...(effect.team === undefined ? {} : { [headers.team]: effect.team }),
+    ...(effect.reference === undefined ? {} : { [headers.reference]: formatReference(effect.reference) })
   }
 }
 
@@ -158,8 +168,3 @@
   yield prefix
   yield * rest
 }
-
-function isConnectError (err: unknown): boolean {
-  if (err instanceof errors.ConnectTimeoutError) return true
-  return err instanceof Error && 'syscall' in err && err.syscall === 'connect'
-}
--- a/packages/runtime/src/headers.ts
+++ b/packages/runtime/src/headers.ts
@@ -8,7 +8,11 @@
   endpoint: 'lavenderturn-endpoint',
   deadline: 'lavenderturn-deadline',
   fingerprint: 'lavenderturn-fingerprint',
+  /** What the gateway sees of the service's other endpoints: mean service time in milliseconds and error rate. */
+  reference: 'lavenderturn-reference',
   result: 'lavenderturn-result',
+  /** Boot id of the backend server that died during the attempt. */
+  crashedBoot: 'lavenderturn-crashed',
   load: 'lavenderturn-load',
   bootId: 'lavenderturn-boot',
   notRun: 'lavenderturn-not-run'
--- /dev/null
+++ b/packages/runtime/src/health/HealthHandler.ts
@@ -0,0 +1,94 @@
+import { createClient } from '@connectrpc/connect'
+import type { AskPermit, OutwardEffect, PermitAnswer, ProbeServer, ReleasePermit } from '@lavenderturn/decisions'
+import type { NodeId } from '@lavenderturn/types'
+import { HealthService } from '@lavenderturn/wire'
+import { EffectHandler } from '../EffectHandler'
+import type { PeerTransports } from '../peers/PeerTransports'
+import { PendingCalls } from '../peers/PendingCalls'
+import type { Runtime } from '../Runtime'
+import { connectTo } from './connectTo'
+import { readPermitAnswer } from './permitMessages'
+
+/** An owner that does not answer within this time is asked again later. */
+const CALL_TIMEOUT_MS = 1_000
+
+/** @public */
+export interface HealthHandlerOptions {
+  readonly runtime: Runtime
+  readonly peers: PeerTransports
+  readonly nodeId: NodeId
+}
+
+/** Calls the owners of permits and probes backend servers. @public */
+export class HealthHandler extends EffectHandler {
+  override readonly slices = ['health'] as const
+  /** Requests for permits that wait for this node's own decision. */
+  readonly calls = new PendingCalls<PermitAnswer>()
+  private readonly runtime: Runtime
+  private readonly peers: PeerTransports
+  private readonly nodeId: NodeId
+
+  constructor ({ runtime, peers, nodeId }: HealthHandlerOptions) {
+    super()
+    this.runtime = runtime
+    this.peers = peers
+    this.nodeId = nodeId
+  }
+
+  override run (effect: OutwardEffect): void {
+    if (effect.slice !== 'health') return
+    switch (effect.type) {
+      case 'askPermit':
+        void this.askPermit(effect)
+        break
+      case 'releasePermit':
+        void this.releasePermit(effect)
+        break
+      case 'answerPermit':
+        this.calls.answer(effect.callId, effect.answer)
+        break
+      case 'probeServer':
+        void this.probeServer(effect)
+    }
+  }
+
+  private async askPermit (effect: AskPermit): Promise<void> {
+    const { endpoint, askedAt } = effect
+    try {
+      const answer = effect.owner === this.nodeId ? await this.askSelf(effect) : await this.askOwner(effect)
+      this.runtime.tell({ slice: 'health', type: 'permitAnswered', endpoint, askedAt, answer })
+    } catch {
+      this.runtime.tell({ slice: 'health', type: 'permitUnanswered', endpoint, askedAt })
+    }
+  }
+
+  private async askSelf ({ service, endpoint, askedAt }: AskPermit): Promise<PermitAnswer> {
+    return await this.calls.open((callId) => {
+      this.runtime.tell({
+        slice: 'health', type: 'permitAsked', callId, holder: this.nodeId, service, endpoint, askedAt
+      })
+    })
+  }
+
+  private async askOwner ({ address, service, endpoint, askedAt }: AskPermit): Promise<PermitAnswer> {
+    const client = createClient(HealthService, this.peers.get(address))
+    const request = { holder: this.nodeId, service, endpoint, askedAtMs: askedAt }
+    return readPermitAnswer(await client.askPermit(request, { timeoutMs: CALL_TIMEOUT_MS }))
+  }
+
+  private async releasePermit ({ owner, address, service, endpoint, askedAt }: ReleasePermit): Promise<void> {
+    if (owner === this.nodeId) {
+      this.runtime.tell({ slice: 'health', type: 'permitReleased', holder: owner, service, endpoint, askedAt })
+      return
+    }
+    const client = createClient(HealthService, this.peers.get(address))
+    const request = { holder: this.nodeId, service, endpoint, askedAtMs: askedAt }
+    // A release that is lost costs nothing but the rest of the permit's life.
+    await client.releasePermit(request, { timeoutMs: CALL_TIMEOUT_MS }).catch(() => undefined)
+  }
+
+  private async probeServer ({ endpoint, address }: ProbeServer): Promise<void> {
+    const accepted = await connectTo(address)
+    this.runtime.dispatch({ slice: 'admission', type: 'serverProbed', endpoint, accepted })
+  }
+}
