--- a/packages/decisions/src/NodeEffect.ts
+++ b/packages/decisions/src/NodeEffect.ts
@@ -6,6 +6,7 @@
 import type { IdempotencyEffect } from './idempotency/IdempotencyEffect'
 import type { LimitsEffect } from './limits/LimitsEffect'
 import type { MembershipEffect } from './membership/MembershipEffect'
+import type { LifecycleEffect } from './lifecycle/LifecycleEffect'
 import type { EventBody } from './NodeEvent'
 import type { QuarantineEffect } from './quarantine/QuarantineEffect'
 
@@ -42,6 +43,7 @@
   | GatewayEffect
   | HealthEffect
   | IdempotencyEffect
+  | LifecycleEffect
   | LimitsEffect
   | LogEffect
   | MembershipEffect
--- a/packages/decisions/src/NodeEvent.ts
+++ b/packages/decisions/src/NodeEvent.ts
@@ -1,9 +1,11 @@
 import type { Millis } from '@lavenderturn/types'
 import type { AdmissionEvent } from './admission/AdmissionEvent'
+import type { AnnouncementEvent } from './announcement/AnnouncementEvent'
 import type { ControlEvent } from './control/ControlEvent'
 import type { GatewayEvent } from './gateway/GatewayEvent'
 import type { HealthEvent } from './health/HealthEvent'
 import type { IdempotencyEvent } from './idempotency/IdempotencyEvent'
+import type { LifecycleEvent } from './lifecycle/LifecycleEvent'
 import type { LimitsEvent } from './limits/LimitsEvent'
 import type { MembershipEvent } from './membership/MembershipEvent'
 import type { QuarantineEvent } from './quarantine/QuarantineEvent'
@@ -17,10 +19,12 @@
 /** Everything that can happen to a node. @public */
 export type NodeEvent =
   | AdmissionEvent
+  | AnnouncementEvent
   | ControlEvent
   | GatewayEvent
   | HealthEvent
   | IdempotencyEvent
+  | LifecycleEvent
   | LimitsEvent
   | MembershipEvent
   | QuarantineEvent
--- a/packages/decisions/src/NodeState.ts
+++ b/packages/decisions/src/NodeState.ts
@@ -2,10 +2,12 @@
 import { type RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { type AdmissionState, createAdmissionState } from './admission/AdmissionState'
+import { type AnnouncementState, createAnnouncementState } from './announcement/AnnouncementState'
 import { type ControlState, createControlState } from './control/ControlState'
 import { createGatewayState, type GatewayState } from './gateway/GatewayState'
 import { createHealthState, type HealthState } from './health/HealthState'
 import { createIdempotencyState, type IdempotencyState } from './idempotency/IdempotencyState'
+import { createLifecycleState, type LifecycleState } from './lifecycle/LifecycleState'
 import { createLimitsState, type LimitsState } from './limits/LimitsState'
 import { createMembershipState, type MembershipState } from './membership/MembershipState'
 import { createPolicies, type Policies, type PolicyOptions } from './Policies'
@@ -28,10 +30,12 @@
   readonly random: RandomGenerator
   readonly policies: Policies
   readonly admission: AdmissionState
+  readonly announcement: AnnouncementState
   readonly control: ControlState
   readonly gateway: GatewayState
   readonly health: HealthState
   readonly idempotency: IdempotencyState
+  readonly lifecycle: LifecycleState
   readonly limits: LimitsState
   readonly membership: MembershipState
   readonly quarantine: QuarantineState
@@ -60,10 +64,12 @@
     random: xoroshiro128plus(seed),
     policies: createPolicies(policies),
     admission: createAdmissionState(),
+    announcement: createAnnouncementState(),
     control: createControlState({ now }),
     gateway: createGatewayState(),
     health: createHealthState(),
     idempotency: createIdempotencyState(),
+    lifecycle: createLifecycleState(),
     limits: createLimitsState(),
     membership: createMembershipState(),
     quarantine: createQuarantineState()
--- a/packages/decisions/src/admission/AdmissionEffect.ts
+++ b/packages/decisions/src/admission/AdmissionEffect.ts
@@ -9,6 +9,9 @@
   readonly address: Address
   /** Time left until the deadline. */
   readonly timeout: Millis
+  /** Silence after which the connection is given up, when the backend server answers probes; by default a share of
+   * `timeout`. */
+  readonly silentAfter?: Millis
 }
 
 /** Tells the gateway that an attempt was not dispatched. @public */
--- a/packages/decisions/src/admission/AdmissionEvent.ts
+++ b/packages/decisions/src/admission/AdmissionEvent.ts
@@ -17,12 +17,23 @@
   readonly timeout: Millis
 }
 
+/** What became of a backend server's process after an exchange with it broke off. @public */
+export type ServerProcess = 'died' | 'alive' | 'unknown'
+
 /** How a dispatched attempt ended. @public */
 export type WorkOutcome =
   | { readonly kind: 'answered', readonly status: number, readonly bootId?: BootId }
   /** The backend server shed the request and states that it did not run it. */
   | { readonly kind: 'shed' }
-  | { readonly kind: 'failed', readonly reason: FailureReason, readonly sent: boolean }
+  | {
+    readonly kind: 'failed',
+    readonly reason: FailureReason,
+    readonly sent: boolean,
+    /** Found by a reconnect after a reset or a truncated answer. */
+    readonly process?: ServerProcess,
+    /** Life of the process that answered the reconnect. */
+    readonly bootId?: BootId
+  }
 
 /** The exchange of an attempt with its backend server is over. @public */
 export interface WorkEnded extends EventBase {
--- a/packages/decisions/src/gateway/GatewayEvent.ts
+++ b/packages/decisions/src/gateway/GatewayEvent.ts
@@ -4,8 +4,13 @@
 import type { LoadReport } from '../health/LoadReport'
 import type { EventBase } from '../NodeEvent'
 
-/** Why an exchange with another node or a backend server ended without a whole answer. @public */
-export type FailureReason = 'connect' | 'reset' | 'timeout' | 'truncated' | 'silent' | 'crossed'
+/**
+ * Why an exchange with another node or a backend server ended without a whole answer. `cancelled` says nothing of the
+ * other side: this side gave up.
+ *
+ * @public
+ */
+export type FailureReason = 'connect' | 'reset' | 'timeout' | 'truncated' | 'silent' | 'crossed' | 'cancelled'
 
 /** A caller's request arrived, with its body up to the buffer limit. @public */
 export interface RequestArrived extends EventBase {
@@ -18,7 +23,7 @@
   readonly keyHash?: KeyHash
   /** The caller put its key into the target, where a backend server would see it. */
   readonly keyInTarget: boolean
-  /** Declared or measured size; undefined for a chunked body that is not complete yet. */
+  /** Declared or measured size; a lower bound for a chunked body that is not complete yet. */
   readonly bodyBytes?: number
   readonly idempotencyKey?: IdempotencyKey
   readonly fingerprint: Fingerprint
@@ -83,6 +88,8 @@
   readonly attemptId: AttemptId
   readonly result: ResultName
   readonly load?: LoadReport
+  /** Whether the body can be sent again; absent means that it can. */
+  readonly replayable?: boolean
 }
 
 /** An attempt ended without a whole answer. @public */
@@ -96,6 +103,11 @@
   readonly sent: boolean
   /** Whether the body can be sent again. */
   readonly replayable: boolean
+  /** `path`: the exchange with the other node failed; `server`: that node reports a failed backend exchange. */
+  readonly origin?: 'path' | 'server'
+  /** The other node found that the process of the backend server died. */
+  readonly serverDied?: boolean
+  readonly load?: LoadReport
 }
 
 /** The answer was relayed to the caller, or broke off. @public */
--- a/packages/decisions/src/gateway/handleForwardFailure.ts
+++ b/packages/decisions/src/gateway/handleForwardFailure.ts
@@ -22,6 +22,7 @@
 export function handleForwardRefused (state: NodeState, request: GatewayRequest, event: ForwardRefused): NodeEffect[] {
   if (request.attempt !== event.attemptId) return []
   request.attempt = undefined
+  if (event.replayable === false) return refuseRequest(state, request, { result: event.result })
   return retryOrRefuse(state, request, event.result)
 }
 
@@ -40,7 +41,9 @@
   if (!event.sent) return retryOrRefuse(state, request, 'noEndpoint')
   request.mayHaveRun = true
   const result = event.reason === 'truncated' ? 'answerIncomplete' : 'outcomeUnknown'
-  if (!request.route.repeatable || !event.replayable) return refuseRequest(state, request, { result })
+  // A request that may have crashed one backend server is not given the next one.
+  const mayRepeat = request.route.repeatable && event.replayable && event.serverDied !== true
+  if (!mayRepeat) return refuseRequest(state, request, { result })
   return retryOrRefuse(state, request, result)
 }
 
--- a/packages/decisions/src/reduce.ts
+++ b/packages/decisions/src/reduce.ts
@@ -1,9 +1,11 @@
 import { reduceAdmission } from './admission/reduceAdmission'
+import { reduceAnnouncement } from './announcement/reduceAnnouncement'
 import { reduceControl } from './control/reduceControl'
 import { reduceGateway } from './gateway/reduceGateway'
 import { reduceHealth } from './health/reduceHealth'
 import { reduceIdempotency } from './idempotency/reduceIdempotency'
 import { assertInvariants } from './invariants/assertInvariants'
+import { reduceLifecycle } from './lifecycle/reduceLifecycle'
 import { reduceLimits } from './limits/reduceLimits'
 import { reduceMembership } from './membership/reduceMembership'
 import type { NodeEffect, OutwardEffect } from './NodeEffect'
@@ -37,10 +39,12 @@
 function reduceSlice (state: NodeState, event: NodeEvent): NodeEffect[] {
   switch (event.slice) {
     case 'admission': return reduceAdmission(state, event)
+    case 'announcement': return reduceAnnouncement(state, event)
     case 'control': return reduceControl(state, event)
     case 'gateway': return reduceGateway(state, event)
     case 'health': return reduceHealth(state, event)
     case 'idempotency': return reduceIdempotency(state, event)
+    case 'lifecycle': return reduceLifecycle(state, event)
     case 'limits': return reduceLimits(state, event)
     case 'membership': return reduceMembership(state, event)
     case 'quarantine': return reduceQuarantine(state, event)
--- /dev/null
+++ b/packages/runtime/src/admin/announcementSchema.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod'
+
+/** Body of `POST /announce`. */
+export const announcementSchema = z.strictObject({
+  service: z.string().min(1).max(128),
+  address: z.string().regex(/^(\[[0-9a-f:]+\]|[^\s:/]+):\d{1,5}$/, 'must be host:port'),
+  slots: z.int().min(1).max(100_000),
+  bootId: z.string().min(1).max(128),
+  state: z.enum(['serving', 'draining', 'leaving'])
+})
+
+/** @public */
+export type Announcement = z.infer<typeof announcementSchema>
--- /dev/null
+++ b/packages/runtime/src/admin/createAdminServer.ts
@@ -0,0 +1,101 @@
+import { toId } from '@lavenderturn/types'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Journal } from '../journal/Journal'
+import type { LifecycleHandler } from '../lifecycle/LifecycleHandler'
+import type { Metrics } from '../metrics/Metrics'
+import { readPrefix } from '../readPrefix'
+import type { Runtime } from '../Runtime'
+import { sendProblem } from '../sendProblem'
+import { announcementSchema } from './announcementSchema'
+import { describeStatus } from './describeStatus'
+
+/** An announcement has about 150 bytes. */
+const ANNOUNCEMENT_LIMIT_BYTES = 4_096
+
+/** @public */
+export interface AdminServerOptions {
+  readonly runtime: Runtime
+  readonly lifecycle: LifecycleHandler
+  readonly journal: Journal
+  readonly metrics: Metrics
+}
+
+type Route = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>
+
+/**
+ * Creates the server of the admin port. It has no authentication and listens on loopback only.
+ *
+ * @param options - what the port reports on
+ * @returns the server, not yet listening
+ * @public
+ */
+export function createAdminServer (options: AdminServerOptions): Server {
+  const routes = createRoutes(options)
+  return createServer((req, res) => {
+    const route = routes.get(`${req.method} ${req.url!.split('?', 1)[0]}`)
+    if (route === undefined) {
+      sendProblem({ req, res, result: 'unknownRoute' })
+      return
+    }
+    Promise.resolve(route(req, res)).catch(() => {
+      if (!res.headersSent) sendProblem({ req, res, result: 'internal' })
+    })
+  })
+}
+
+function createRoutes ({ runtime, lifecycle, journal, metrics }: AdminServerOptions): ReadonlyMap<string, Route> {
+  return new Map<string, Route>([
+    ['GET /livez', (_, res) => { sendText(res, 200, 'alive') }],
+    ['GET /readyz', (_, res) => {
+      const isReady = lifecycle.isReady && runtime.query(({ control }) => control.document !== undefined)
+      sendText(res, isReady ? 200 : 503, isReady ? 'ready' : 'not ready')
+    }],
+    ['GET /metrics', async (_, res) => {
+      res.setHeader('content-type', metrics.registry.contentType)
+      res.end(await metrics.registry.metrics())
+    }],
+    ['GET /timeline', (req, res) => {
+      const after = Number(new URL(req.url!, 'http://admin').searchParams.get('after') ?? -1)
+      sendJson(res, journal.read(Number.isInteger(after) ? after : -1))
+    }],
+    ['GET /status', (_, res) => { sendJson(res, runtime.query(describeStatus)) }],
+    ['POST /announce', async (req, res) => { await receiveAnnouncement(runtime, req, res) }]
+  ])
+}
+
+async function receiveAnnouncement (runtime: Runtime, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const { bytes, complete } = await readPrefix({ body: req, limitBytes: ANNOUNCEMENT_LIMIT_BYTES })
+  const parsed = announcementSchema.safeParse(complete ? parseJson(bytes) : undefined)
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues
+    sendProblem({ req, res, result: 'malformedRequest', detail: `${issue?.path.join('.')}: ${issue?.message}` })
+    return
+  }
+  const { service, address, slots, bootId, state } = parsed.data
+  runtime.tell({
+    slice: 'announcement',
+    type: 'received',
+    service: toId(service),
+    address: toId(address),
+    slots,
+    bootId: toId(bootId),
+    state
+  })
+  res.writeHead(204).end()
+}
+
+function parseJson (bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
+
+function sendText (res: ServerResponse, status: number, text: string): void {
+  res.writeHead(status, { 'content-type': 'text/plain' }).end(`${text}\n`)
+}
+
+function sendJson (res: ServerResponse, value: unknown): void {
+  res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
+}
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -1,21 +1,59 @@
-import type { Dispatch, LoadReport, OutwardEffect, WorkOutcome } from '@lavenderturn/decisions'
-import { type AttemptId, type EndpointId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
-import { pipeline } from 'node:stream/promises'
-import { Agent, type Dispatcher } from 'undici'
+import type { Dispatch, OutwardEffect, ServerProcess, WorkOutcome } from '@lavenderturn/decisions'
+import { type AttemptId, type BootId, type EndpointId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
+import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
+import { ExchangeAgent } from '../exchange/ExchangeAgent'
+import { ExchangeError } from '../exchange/ExchangeError'
+import { probeAddress } from '../exchange/probeAddress'
+import { hasFraming } from '../gateway/hasFraming'
 import { headers, selectHeaders } from '../headers'
+import { HybridClock } from '../journal/HybridClock'
 import { formatLoad } from '../loadHeader'
+import { type BodyPrefix, readPrefix } from '../readPrefix'
+import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
+import { describeLoad } from './describeLoad'
 import type { ForwardExchange } from './ForwardExchange'
 
+/** Servers that announce no keep-alive time close idle connections after 5 s at the earliest (Node, Apache). */
+const BACKEND_IDLE_MS = 4_000
+
+/** How long a backend server may take to answer `expect: 100-continue`; one that ignores it gets the body then. */
+const CONTINUE_TIMEOUT_MS = 50
+
+/**
+ * Share of the time left to the deadline that a backend server may be silent, when it answers probes but does not
+ * tell of the attempt. A smaller share cuts requests that are merely slow.
+ */
+const SILENT_SHARE = 0.75
+
+/** Time for the probe that finds out whether the process of a backend server died. */
+const PROCESS_PROBE_MS = 250
+
+/** @public */
+export interface AdmissionHandlerOptions {
+  readonly clock?: HybridClock
+  readonly progress?: Partial<ExchangeOptions['progress']>
+}
+
+interface Answer {
+  readonly response: IncomingMessage
+  readonly prefix: BodyPrefix
+}
+
 /** Dispatches attempts to the backend servers beside this node. @public */
 export class AdmissionHandler extends EffectHandler {
   override readonly slices = ['admission'] as const
   private readonly exchanges = new Map<AttemptId, ForwardExchange>()
-  private readonly agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 })
+  private readonly agent = new ExchangeAgent({ idleTimeoutMs: BACKEND_IDLE_MS })
+  private readonly clock: HybridClock
+  private readonly progress: Partial<ExchangeOptions['progress']>
 
-  constructor (private readonly runtime: Runtime) {
+  constructor (private readonly runtime: Runtime, { clock, progress = {} }: AdmissionHandlerOptions = {}) {
     super()
+    this.clock = clock ?? new HybridClock()
+    this.progress = progress
   }
 
   /**
@@ -25,13 +63,26 @@
    * @param exchange - request and response
    */
   open (attemptId: AttemptId, exchange: ForwardExchange): void {
+    this.clock.receive(exchange.req.headers[headers.clock])
     this.exchanges.set(attemptId, exchange)
     exchange.res.once('close', () => {
-      if (!this.exchanges.delete(attemptId)) return
+      const isCancelled = !exchange.res.writableFinished
+      this.exchanges.delete(attemptId)
+      if (!isCancelled) return
       this.runtime.dispatch({ slice: 'admission', type: 'workCancelled', attemptId })
+      // The effect of this event finds no exchange any more.
+      exchange.backend?.cancel()
     })
   }
 
+  /**
+   * @param attemptId - an attempt
+   * @returns whether the attempt is handled here now
+   */
+  isOpen (attemptId: AttemptId): boolean {
+    return this.exchanges.has(attemptId)
+  }
+
   override run (effect: OutwardEffect): void {
     if (effect.slice !== 'admission') return
     const exchange = this.exchanges.get(effect.attemptId)
@@ -40,72 +91,174 @@
         void this.dispatch(effect, exchange)
         break
       case 'reject':
-        if (exchange !== undefined) this.reject(effect.attemptId, exchange, effect.result)
+        if (exchange !== undefined) this.answerWithResult(effect.attemptId, exchange, { result: effect.result })
         break
       case 'cancelDispatch':
-        exchange?.abort?.abort()
+        exchange?.backend?.cancel()
     }
   }
 
   override async stop (): Promise<void> {
-    await this.agent.close()
+    this.agent.destroy()
   }
 
-  private reject (attemptId: AttemptId, { res }: ForwardExchange, result: ResultName): void {
-    this.exchanges.delete(attemptId)
-    res.writeHead(resultCodes[result].status, { [headers.attempt]: attemptId, [headers.result]: result })
-    res.end()
+  private async dispatch (effect: Dispatch, exchange: ForwardExchange | undefined): Promise<void> {
+    const { attemptId, endpoint } = effect
+    const outcome = exchange === undefined || exchange.res.destroyed
+      ? { kind: 'failed', reason: 'cancelled', sent: false } as const
+      : await this.runBackend(effect, exchange)
+    // The load that goes with a refusal shows the slot as free.
+    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', attemptId, outcome })
+    if (exchange !== undefined && outcome.kind !== 'answered') {
+      this.answerFailure(attemptId, exchange, outcome, endpoint)
+    }
   }
 
-  private async dispatch (effect: Dispatch, exchange: ForwardExchange | undefined): Promise<void> {
-    const outcome = exchange === undefined
-      ? { kind: 'failed', reason: 'reset', sent: false } as const
-      : await this.exchangeWithServer(effect, exchange)
-    this.exchanges.delete(effect.attemptId)
-    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', attemptId: effect.attemptId, outcome })
+  private async runBackend (effect: Dispatch, exchange: ForwardExchange): Promise<WorkOutcome> {
+    const backend = this.createBackendExchange(effect, exchange)
+    exchange.backend = backend
+    const timer = setTimeout(() => { backend.cancel('timeout') }, Math.max(0, effect.timeout))
+    try {
+      const answer = await this.readAnswer(backend, effect.attemptId, exchange)
+      clearTimeout(timer)
+      return await this.relay(effect, exchange, backend, answer)
+    } catch (err) {
+      backend.cancel()
+      const failure = err instanceof ExchangeError ? err : backend.describeFailure(err)
+      return await this.describeOutcome(effect, failure)
+    } finally {
+      clearTimeout(timer)
+    }
   }
 
-  private async exchangeWithServer (effect: Dispatch, exchange: ForwardExchange): Promise<WorkOutcome> {
+  private createBackendExchange (effect: Dispatch, exchange: ForwardExchange): Exchange {
     const { req, res } = exchange
-    exchange.abort = new AbortController()
-    try {
-      const response = await this.agent.request({
-        origin: `http://${effect.address}`,
-        path: req.url!,
-        method: req.method as Dispatcher.HttpMethod,
-        headers: { ...selectHeaders(req.headers), [headers.deadline]: String(Math.round(effect.timeout)) },
-        body: hasBody(req.headers) ? req : null,
-        signal: exchange.abort.signal
-      })
-      res.writeHead(response.statusCode, {
-        ...selectHeaders(response.headers),
+    const body = describeBody(req)
+    return new Exchange({
+      agent: this.agent,
+      address: effect.address,
+      attemptId: effect.attemptId,
+      method: req.method!,
+      path: req.url!,
+      headers: {
+        ...selectHeaders(req.headers),
+        [headers.request]: exchange.requestId,
         [headers.attempt]: effect.attemptId,
-        [headers.load]: formatLoad(this.describeLoad(effect.endpoint))
-      })
-      await pipeline(response.body, res)
-      const bootId = response.headers[headers.bootId]
-      return {
-        kind: 'answered',
-        status: response.statusCode,
-        bootId: typeof bootId === 'string' ? toId(bootId) : undefined
-      }
-    } catch {
-      res.destroy()
-      return { kind: 'failed', reason: 'reset', sent: true }
+        [headers.deadline]: String(Math.max(0, Math.round(effect.timeout)))
+      },
+      body,
+      expectContinue: exchange.expectsContinue && body !== undefined,
+      continueTimeoutMs: CONTINUE_TIMEOUT_MS,
+      progress: { silentAfterMs: effect.silentAfter ?? effect.timeout * SILENT_SHARE, ...this.progress },
+      // The gateway may send the body only now: from here on it cannot go to another endpoint.
+      onBodyStarted: () => { if (exchange.expectsContinue && !res.destroyed) res.writeContinue() }
+    })
+  }
+
+  private async readAnswer (backend: Exchange, attemptId: AttemptId, { req }: ForwardExchange): Promise<Answer> {
+    const response = await backend.start()
+    const echo = response.headers[headers.attempt]
+    // Backend servers need not echo the attempt, but an answer of another attempt is never passed on.
+    if (echo !== undefined && echo !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
+    if (!hasFraming(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    return { response, prefix: await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES }) }
+  }
+
+  private async relay (
+    { attemptId, endpoint }: Dispatch,
+    { req, res }: ForwardExchange,
+    backend: Exchange,
+    { response, prefix }: Answer
+  ): Promise<WorkOutcome> {
+    const status = response.statusCode!
+    if (status === 503 && response.headers[headers.notRun] === 'true') {
+      backend.finish()
+      return { kind: 'shed' }
+    }
+    const extra = this.describeAnswer(attemptId, endpoint)
+    const complete = await relayAnswer({ req, res, response, prefix, extra })
+    if (!complete) throw backend.describeFailure()
+    return { kind: 'answered', status, bootId: readBootId(response) }
+  }
+
+  private async describeOutcome (
+    { address, endpoint, attemptId }: Dispatch,
+    { reason, sent }: ExchangeError
+  ): Promise<WorkOutcome> {
+    if (reason !== 'reset' && reason !== 'truncated') return { kind: 'failed', reason, sent }
+    const { kind, bootId } = await probeAddress({ address, attemptId, timeoutMs: PROCESS_PROBE_MS })
+    const known = this.runtime.query(({ admission }) => admission.servers.get(endpoint)?.bootId)
+    return { kind: 'failed', reason, sent, process: judgeProcess({ kind, bootId, known }), bootId }
+  }
+
+  private answerFailure (
+    attemptId: AttemptId,
+    exchange: ForwardExchange,
+    outcome: Exclude<WorkOutcome, { kind: 'answered' }>,
+    endpoint: EndpointId
+  ): void {
+    const { res } = exchange
+    if (res.headersSent) res.destroy()
+    if (res.destroyed) return
+    if (outcome.kind === 'shed' || !outcome.sent) {
+      this.answerWithResult(attemptId, exchange, { result: 'noEndpoint', endpoint })
+      return
     }
+    const extra: OutgoingHttpHeaders = { [headers.reason]: outcome.reason }
+    if (outcome.process !== undefined) extra[headers.process] = outcome.process
+    this.answerWithResult(attemptId, exchange, { result: 'outcomeUnknown', endpoint, extra })
   }
 
-  private describeLoad (endpoint: EndpointId): LoadReport {
-    return this.runtime.query(({ admission }) => {
-      const server = admission.servers.get(endpoint)
-      const slots = server?.slots ?? 0
-      return {
-        slots, limit: slots, inFlight: server?.inFlight ?? 0, queued: server?.queue.length ?? 0, verdict: 'healthy'
-      }
+  private answerWithResult (
+    attemptId: AttemptId,
+    { req, res }: ForwardExchange,
+    { result, endpoint, extra = {} }: ResultAnswer
+  ): void {
+    // A body that was refused must not be read as the next request of the connection.
+    if (!req.complete) res.shouldKeepAlive = false
+    res.writeHead(resultCodes[result].status, {
+      ...this.describeAnswer(attemptId, endpoint), [headers.result]: result, 'content-length': '0', ...extra
     })
+    res.end()
+  }
+
+  private describeAnswer (attemptId: AttemptId, endpoint: EndpointId | undefined): OutgoingHttpHeaders {
+    const described: OutgoingHttpHeaders = { [headers.attempt]: attemptId, [headers.clock]: this.clock.stamp() }
+    if (endpoint !== undefined) {
+      described[headers.load] = this.runtime.query((state) => formatLoad(describeLoad(state, endpoint)))
+    }
+    return described
   }
 }
 
-function hasBody (received: Readonly<Record<string, string | string[] | undefined>>): boolean {
-  return received['content-length'] !== undefined || received['transfer-encoding'] !== undefined
+interface ResultAnswer {
+  readonly result: ResultName
+  readonly endpoint?: EndpointId
+  readonly extra?: OutgoingHttpHeaders
+}
+
+function describeBody (req: IncomingMessage): ExchangeBody | undefined {
+  const declared = req.headers['content-length']
+  if (declared === undefined && req.headers['transfer-encoding'] === undefined) return undefined
+  if (declared === '0') return undefined
+  return { rest: req, lengthBytes: declared === undefined ? undefined : Number(declared) }
+}
+
+function readBootId ({ headers: received }: IncomingMessage): BootId | undefined {
+  const value = received[headers.bootId]
+  return typeof value === 'string' ? toId(value) : undefined
+}
+
+interface ProcessSigns {
+  readonly kind: string
+  /** Boot id of the process that answers now. */
+  readonly bootId?: BootId
+  /** Boot id that was announced before the failure. */
+  readonly known?: BootId
+}
+
+function judgeProcess ({ kind, bootId, known }: ProcessSigns): ServerProcess {
+  if (kind === 'refused') return 'died'
+  if (bootId === undefined || known === undefined) return 'unknown'
+  return bootId === known ? 'alive' : 'died'
 }
--- a/packages/runtime/src/admission/ForwardExchange.ts
+++ b/packages/runtime/src/admission/ForwardExchange.ts
@@ -1,8 +1,14 @@
+import type { RequestId } from '@lavenderturn/types'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Exchange } from '../exchange/Exchange'
 
 /** What the shell keeps of one attempt of a gateway. @internal */
 export interface ForwardExchange {
   readonly req: IncomingMessage
   readonly res: ServerResponse
-  abort?: AbortController
+  readonly requestId: RequestId
+  /** Whether the gateway waits for `100 Continue` before it sends the body. */
+  readonly expectsContinue: boolean
+  /** The exchange with the backend server, once the attempt is dispatched. */
+  backend?: Exchange
 }
--- a/packages/runtime/src/admission/createForwardServer.ts
+++ b/packages/runtime/src/admission/createForwardServer.ts
@@ -1,14 +1,24 @@
-import { type AttemptId, millis, toId } from '@lavenderturn/types'
-import { createServer, type IncomingMessage, type Server } from 'node:http'
+import { type AttemptId, type EndpointId, type Millis, millis, type RequestId, toId } from '@lavenderturn/types'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { headers } from '../headers'
+import type { ExchangeCounter } from '../lifecycle/ExchangeCounter'
+import { refuseMalformed } from '../refuseMalformed'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
 import type { AdmissionHandler } from './AdmissionHandler'
 
+/** Longer than gateways keep idle connections, so that the server is never the first to close one. */
+const FORWARD_KEEP_ALIVE_MS = 60_000
+
+/** Room for the largest headers that callers may send and for those that the gateway adds. */
+const MAX_HEADER_BYTES = 32_768
+
 /** @public */
 export interface ForwardServerOptions {
   readonly runtime: Runtime
   readonly handler: AdmissionHandler
+  /** Counts open exchanges for a planned stop. */
+  readonly counter?: ExchangeCounter
 }
 
 /**
@@ -18,29 +28,66 @@
  * @returns the server, not yet listening
  * @public
  */
-export function createForwardServer ({ runtime, handler }: ForwardServerOptions): Server {
-  return createServer((req, res) => {
-    const attempt = readHeader(req, headers.attempt)
-    const endpoint = readHeader(req, headers.endpoint)
-    const timeout = Number(readHeader(req, headers.deadline))
-    if (attempt === undefined || endpoint === undefined || !Number.isFinite(timeout)) {
-      sendProblem(res, { result: 'malformedRequest' })
-      return
-    }
-    const attemptId = toId<AttemptId>(attempt)
-    const team = readHeader(req, headers.team)
-    handler.open(attemptId, { req, res })
-    runtime.dispatch({
-      slice: 'admission',
-      type: 'workArrived',
-      attemptId,
-      endpoint: toId(endpoint),
-      route: toId(readHeader(req, headers.route) ?? ''),
-      team: team === undefined ? undefined : toId(team),
-      fingerprint: toId(readHeader(req, headers.fingerprint) ?? ''),
-      timeout: millis(timeout)
-    })
+export function createForwardServer (options: ForwardServerOptions): Server {
+  const server = createServer({
+    keepAliveTimeout: FORWARD_KEEP_ALIVE_MS, requestTimeout: 0, maxHeaderSize: MAX_HEADER_BYTES
   })
+  server.on('request', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: false }) })
+  server.on('checkContinue', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: true }) })
+  refuseMalformed(server)
+  return server
+}
+
+interface Arrival {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly expectsContinue: boolean
+}
+
+interface Attempt {
+  readonly attemptId: AttemptId
+  readonly endpoint: EndpointId
+  readonly timeout: Millis
+}
+
+function acceptAttempt ({ runtime, handler, counter }: ForwardServerOptions, arrival: Arrival): void {
+  const { req, res } = arrival
+  if (req.method === 'OPTIONS' && req.url === '*') {
+    answerProbe(handler, arrival)
+    return
+  }
+  counter?.open(res)
+  const attempt = readAttempt(req)
+  if (attempt === undefined || handler.isOpen(attempt.attemptId)) {
+    sendProblem({ req, res, result: 'malformedRequest' })
+    return
+  }
+  const team = readHeader(req, headers.team)
+  const requestId = toId<RequestId>(readHeader(req, headers.request) ?? '')
+  handler.open(attempt.attemptId, { ...arrival, requestId })
+  runtime.dispatch({
+    slice: 'admission',
+    type: 'workArrived',
+    ...attempt,
+    route: toId(readHeader(req, headers.route) ?? ''),
+    team: team === undefined ? undefined : toId(team),
+    fingerprint: toId(readHeader(req, headers.fingerprint) ?? '')
+  })
+}
+
+function answerProbe (handler: AdmissionHandler, { req, res }: Arrival): void {
+  const attempt = readHeader(req, headers.attempt)
+  const isOpen = attempt !== undefined && handler.isOpen(toId(attempt))
+  res.writeHead(204, { [headers.attemptState]: isOpen ? 'open' : 'closed', connection: 'close' })
+  res.end()
+}
+
+function readAttempt (req: IncomingMessage): Attempt | undefined {
+  const attempt = readHeader(req, headers.attempt)
+  const endpoint = readHeader(req, headers.endpoint)
+  const timeout = Number(readHeader(req, headers.deadline))
+  if (attempt === undefined || endpoint === undefined || !Number.isFinite(timeout)) return undefined
+  return { attemptId: toId(attempt), endpoint: toId(endpoint), timeout: millis(timeout) }
 }
 
 function readHeader (req: IncomingMessage, name: string): string | undefined {
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -1,18 +1,30 @@
 import { createNodeState, type NodeIdentity, type PolicyOptions } from '@lavenderturn/decisions'
 import type { Server } from 'node:http'
-import { AdmissionHandler } from './admission/AdmissionHandler'
+import { createAdminServer } from './admin/createAdminServer'
+import { AdmissionHandler, type AdmissionHandlerOptions } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
 import { createCallerServer } from './gateway/createCallerServer'
-import { GatewayHandler } from './gateway/GatewayHandler'
+import { GatewayHandler, type GatewayHandlerOptions } from './gateway/GatewayHandler'
+import { HybridClock } from './journal/HybridClock'
+import { Journal } from './journal/Journal'
+import { ExchangeCounter } from './lifecycle/ExchangeCounter'
+import { LifecycleHandler, type LifecycleHandlerOptions } from './lifecycle/LifecycleHandler'
 import { LogHandler, type LogHandlerOptions } from './LogHandler'
-import { Runtime } from './Runtime'
+import { Metrics } from './metrics/Metrics'
+import { Runtime, type StepObserver } from './Runtime'
 import { TimerHandler } from './TimerHandler'
 
 /** @public */
-export interface NodeOptions extends LogHandlerOptions {
+export interface NodeOptions extends LogHandlerOptions, Pick<LifecycleHandlerOptions, 'exit'> {
   readonly identity: NodeIdentity
   readonly seed?: number
   readonly policies?: PolicyOptions
+  /** Observers besides the journal and the metrics. */
+  readonly observers?: readonly StepObserver[]
+  /** When an exchange with another node counts as silent. */
+  readonly pathProgress?: GatewayHandlerOptions['progress']
+  /** When an exchange with a backend server counts as silent. */
+  readonly backendProgress?: AdmissionHandlerOptions['progress']
 }
 
 /** A node that has not opened its ports yet. @public */
@@ -20,6 +32,12 @@
   readonly runtime: Runtime
   readonly callerServer: Server
   readonly forwardServer: Server
+  readonly adminServer: Server
+  /** Closes ports in a planned stop; the control port is added by whoever opens it. */
+  readonly lifecycle: LifecycleHandler
+  readonly journal: Journal
+  /** The clock that messages to other nodes carry. */
+  readonly clock: HybridClock
 }
 
 /**
@@ -29,16 +47,33 @@
  * @returns the parts that a program starts and stops
  * @public
  */
-export function createNode ({ identity, seed, policies, log }: NodeOptions): Node {
-  const runtime = new Runtime({ state: createNodeState({ identity, seed, policies }) })
-  const gateway = new GatewayHandler(runtime)
-  const admission = new AdmissionHandler(runtime)
-  for (const handler of [gateway, admission, new TimerHandler(runtime), new LogHandler({ log })]) {
+export function createNode ({
+  identity, seed, policies, log, exit, observers = [], pathProgress, backendProgress
+}: NodeOptions): Node {
+  const clock = new HybridClock()
+  const journal = new Journal({ identity, clock })
+  const metrics = new Metrics()
+  const runtime = new Runtime({
+    state: createNodeState({ identity, seed, policies }), observers: [journal, metrics, ...observers]
+  })
+  const counter = new ExchangeCounter()
+  const gateway = new GatewayHandler(runtime, { clock, progress: pathProgress })
+  const admission = new AdmissionHandler(runtime, { clock, progress: backendProgress })
+  const lifecycle = new LifecycleHandler({ runtime, counter, exit })
+  for (const handler of [gateway, admission, lifecycle, new TimerHandler(runtime), new LogHandler({ log })]) {
     runtime.addHandler(handler)
   }
+  const callerServer = createCallerServer({ runtime, handler: gateway, counter })
+  const forwardServer = createForwardServer({ runtime, handler: admission, counter })
+  lifecycle.addServer(callerServer)
+  lifecycle.addServer(forwardServer)
   return {
     runtime,
-    callerServer: createCallerServer({ runtime, handler: gateway }),
-    forwardServer: createForwardServer({ runtime, handler: admission })
+    callerServer,
+    forwardServer,
+    adminServer: createAdminServer({ runtime, lifecycle, journal, metrics }),
+    lifecycle,
+    journal,
+    clock
   }
 }
--- a/packages/runtime/src/gateway/CallerExchange.ts
+++ b/packages/runtime/src/gateway/CallerExchange.ts
@@ -1,12 +1,12 @@
 import type { AttemptId, RequestId } from '@lavenderturn/types'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Dispatcher } from 'undici'
+import type { Exchange } from '../exchange/Exchange'
 import type { BodyPrefix } from '../readPrefix'
 
 /** The answer of an attempt, held until the reducer says to relay it. @internal */
 export interface HeldAnswer {
   readonly attemptId: AttemptId
-  readonly response: Dispatcher.ResponseData
+  readonly response: IncomingMessage
   readonly prefix: BodyPrefix
 }
 
@@ -15,10 +15,11 @@
   readonly requestId: RequestId
   readonly req: IncomingMessage
   readonly res: ServerResponse
-  readonly key?: string
+  /** Forms of the caller's key that must not be passed on. */
+  readonly secrets: readonly string[]
   readonly body: BodyPrefix
   /** Whether part of the body beyond the prefix was sent and cannot be sent again. */
   bodyConsumed: boolean
-  readonly aborts: Map<AttemptId, AbortController>
+  readonly attempts: Map<AttemptId, Exchange>
   answer?: HeldAnswer
 }
--- a/packages/runtime/src/gateway/GatewayHandler.ts
+++ b/packages/runtime/src/gateway/GatewayHandler.ts
@@ -1,32 +1,42 @@
-import type { Forward, OutwardEffect } from '@lavenderturn/decisions'
+import type { FailureReason, Forward, OutwardEffect, Refuse } from '@lavenderturn/decisions'
 import type { RequestId, ResultName } from '@lavenderturn/types'
-import { Readable } from 'node:stream'
-import { pipeline } from 'node:stream/promises'
-import { Agent, type Dispatcher, errors } from 'undici'
+import type { IncomingMessage } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
+import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
+import { ExchangeAgent } from '../exchange/ExchangeAgent'
+import { ExchangeError } from '../exchange/ExchangeError'
 import { headers, selectHeaders } from '../headers'
+import { HybridClock } from '../journal/HybridClock'
 import { parseLoad } from '../loadHeader'
 import { readPrefix } from '../readPrefix'
+import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
 import type { CallerExchange } from './CallerExchange'
 import { hasFraming } from './hasFraming'
 
-/** Answers up to this size are complete before their first byte goes to the caller. */
-const ANSWER_BUFFER_BYTES = 65_536
-
 /** Connections that a gateway keeps to one other node. */
-const CONNECTIONS_PER_NODE = 64
+const CONNECTIONS_PER_NODE = 256
+
+/** @public */
+export interface GatewayHandlerOptions {
+  readonly clock?: HybridClock
+  readonly progress?: ExchangeOptions['progress']
+}
 
 /** Forwards requests to other nodes and answers callers. @public */
 export class GatewayHandler extends EffectHandler {
   override readonly slices = ['gateway'] as const
   private readonly exchanges = new Map<RequestId, CallerExchange>()
-  // Timeouts come from the reducer's deadlines.
-  private readonly agent = new Agent({ connections: CONNECTIONS_PER_NODE, headersTimeout: 0, bodyTimeout: 0 })
+  private readonly agent = new ExchangeAgent({ connections: CONNECTIONS_PER_NODE })
+  private readonly clock: HybridClock
+  private readonly progress: ExchangeOptions['progress']
 
-  constructor (private readonly runtime: Runtime) {
+  constructor (private readonly runtime: Runtime, { clock, progress }: GatewayHandlerOptions = {}) {
     super()
+    this.clock = clock ?? new HybridClock()
+    // Other nodes always tell whether they still handle an attempt, so that silence alone decides nothing.
+    this.progress = progress ?? { silentAfterMs: Infinity }
   }
 
   /**
@@ -39,6 +49,8 @@
     exchange.res.once('close', () => {
       if (!this.exchanges.delete(exchange.requestId)) return
       this.runtime.dispatch({ slice: 'gateway', type: 'callerGone', requestId: exchange.requestId })
+      // The effects of this event find no exchange any more, so that its attempts are dropped here.
+      for (const attempt of exchange.attempts.values()) attempt.cancel()
     })
   }
 
@@ -51,87 +63,121 @@
         void this.forward(exchange, effect)
         break
       case 'cancelForward':
-        exchange.aborts.get(effect.attemptId)?.abort()
+        exchange.attempts.get(effect.attemptId)?.cancel()
         break
       case 'relay':
         void this.relay(exchange)
         break
       case 'refuse':
-        this.exchanges.delete(effect.requestId)
-        if (exchange.res.headersSent) exchange.res.destroy()
-        else sendProblem(exchange.res, effect)
+        this.refuse(exchange, effect)
     }
   }
 
   override async stop (): Promise<void> {
-    await this.agent.close()
+    this.agent.destroy()
   }
 
   private async forward (exchange: CallerExchange, effect: Forward): Promise<void> {
-    const { requestId, attemptId } = effect
-    const abort = new AbortController()
-    exchange.aborts.set(attemptId, abort)
+    const attempt = this.createAttempt(exchange, effect)
+    exchange.attempts.set(effect.attemptId, attempt)
     try {
-      const response = await this.agent.request({
-        origin: `http://${effect.address}`,
-        path: exchange.req.url!,
-        method: exchange.req.method as Dispatcher.HttpMethod,
-        headers: { ...selectHeaders(exchange.req.headers, exchange.key), ...describeAttempt(effect) },
-        body: takeBody(exchange),
-        signal: abort.signal
-      })
-      await this.receive(exchange, effect, response)
+      await this.receive(exchange, effect, await attempt.start())
     } catch (err) {
+      attempt.cancel()
+      const { reason, sent } = err instanceof ExchangeError ? err : attempt.describeFailure(err)
       this.runtime.dispatch({
         slice: 'gateway',
         type: 'forwardFailed',
-        requestId,
-        attemptId,
-        reason: isConnectError(err) ? 'connect' : 'reset',
-        sent: !isConnectError(err),
-        replayable: !exchange.bodyConsumed
+        requestId: effect.requestId,
+        attemptId: effect.attemptId,
+        reason,
+        sent,
+        replayable: !exchange.bodyConsumed,
+        origin: 'path'
       })
+    } finally {
+      // An attempt whose answer is being relayed stays, so that it ends when the caller goes away.
+      if (exchange.answer?.attemptId !== effect.attemptId) exchange.attempts.delete(effect.attemptId)
     }
   }
 
-  private async receive (
-    exchange: CallerExchange,
-    { requestId, attemptId }: Forward,
-    response: Dispatcher.ResponseData
-  ): Promise<void> {
+  private createAttempt (exchange: CallerExchange, effect: Forward): Exchange {
+    const { req, secrets } = exchange
+    const { requestId } = effect
+    return new Exchange({
+      agent: this.agent,
+      address: effect.address,
+      attemptId: effect.attemptId,
+      method: req.method!,
+      path: req.url!,
+      headers: {
+        ...selectHeaders(req.headers, secrets), ...describeAttempt(effect), [headers.clock]: this.clock.stamp()
+      },
+      body: describeBody(exchange, effect),
+      expectContinue: !exchange.body.complete,
+      progress: this.progress,
+      onBodyStarted: () => { exchange.bodyConsumed = true },
+      onBodyTooLarge: () => { this.runtime.dispatch({ slice: 'gateway', type: 'bodyTooLarge', requestId }) }
+    })
+  }
+
+  private async receive (exchange: CallerExchange, effect: Forward, response: IncomingMessage): Promise<void> {
+    const { requestId, attemptId } = effect
+    this.clock.receive(response.headers[headers.clock])
+    if (response.headers[headers.attempt] !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
+    if (response.headers[headers.result] !== undefined) return this.receiveRefusal(exchange, effect, response)
+    if (!hasFraming(exchange.req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    const prefix = await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES })
+    exchange.answer = { attemptId, response, prefix }
     const load = parseLoad(response.headers[headers.load])
-    const result = response.headers[headers.result]
-    if (result !== undefined) {
-      await response.body.dump()
+    this.runtime.dispatch({
+      slice: 'gateway', type: 'forwardAnswered', requestId, attemptId, status: response.statusCode!, load
+    })
+  }
+
+  private receiveRefusal (exchange: CallerExchange, effect: Forward, { headers: received }: IncomingMessage): void {
+    const { requestId, attemptId } = effect
+    const replayable = !exchange.bodyConsumed
+    const load = parseLoad(received[headers.load])
+    exchange.attempts.get(attemptId)?.finish()
+    const reason = received[headers.reason] as FailureReason | undefined
+    if (reason === undefined) {
+      const result = String(received[headers.result]) as ResultName
       this.runtime.dispatch({
-        slice: 'gateway', type: 'forwardRefused', requestId, attemptId, result: String(result) as ResultName, load
+        slice: 'gateway', type: 'forwardRefused', requestId, attemptId, result, load, replayable
       })
       return
     }
-    if (response.headers[headers.attempt] !== attemptId) throw new Error('the answer belongs to another attempt')
-    if (!hasFraming(exchange.req.method, response)) throw new Error('the end of the answer cannot be told')
-    const prefix = await readPrefix(response.body, ANSWER_BUFFER_BYTES)
-    exchange.answer = { attemptId, response, prefix }
     this.runtime.dispatch({
-      slice: 'gateway', type: 'forwardAnswered', requestId, attemptId, status: response.statusCode, load
+      slice: 'gateway',
+      type: 'forwardFailed',
+      requestId,
+      attemptId,
+      reason,
+      sent: true,
+      replayable,
+      origin: 'server',
+      serverDied: received[headers.process] === 'died',
+      load
     })
   }
 
   private async relay (exchange: CallerExchange): Promise<void> {
-    const { requestId, res } = exchange
+    const { requestId, req, res } = exchange
     const { response, prefix } = exchange.answer!
-    res.writeHead(response.statusCode, selectHeaders(response.headers))
-    let complete = true
-    if (prefix.complete) {
-      res.end(prefix.bytes)
-    } else {
-      res.write(prefix.bytes)
-      // A broken stream destroys the caller's socket, so that the answer cannot be taken for a whole one.
-      complete = await pipeline(response.body, res).then(() => true, () => false)
-    }
-    this.exchanges.delete(requestId)
+    const complete = await relayAnswer({ req, res, response, prefix, extra: { [headers.request]: requestId } })
+    if (!this.exchanges.delete(requestId)) return
     this.runtime.dispatch({ slice: 'gateway', type: 'answerEnded', requestId, complete })
   }
+
+  private refuse (exchange: CallerExchange, { requestId, result, run, detail }: Refuse): void {
+    const { req, res } = exchange
+    this.exchanges.delete(requestId)
+    // `endRequest` asks to drop the attempt with a later effect, which does not find the exchange any more.
+    for (const attempt of exchange.attempts.values()) attempt.cancel()
+    if (res.headersSent) res.destroy()
+    else sendProblem({ req, res, requestId, result, run, detail })
+  }
 }
 
 function describeAttempt (effect: Forward): Record<string, string> {
@@ -141,25 +187,21 @@
     [headers.route]: effect.route,
     [headers.service]: effect.service,
     [headers.endpoint]: effect.endpoint,
-    [headers.deadline]: String(Math.round(effect.timeout)),
+    [headers.deadline]: String(Math.max(0, Math.round(effect.timeout))),
     [headers.fingerprint]: effect.fingerprint,
     ...(effect.team === undefined ? {} : { [headers.team]: effect.team })
   }
 }
 
-function takeBody (exchange: CallerExchange): Buffer | Readable | null {
-  const { body, req } = exchange
-  if (body.complete) return body.bytes.length > 0 ? body.bytes : null
-  exchange.bodyConsumed = true
-  return Readable.from(concatBody(body.bytes, req))
-}
-
-async function * concatBody (prefix: Buffer, rest: Readable): AsyncGenerator<Buffer> {
-  yield prefix
-  yield * rest
-}
-
-function isConnectError (err: unknown): boolean {
-  if (err instanceof errors.ConnectTimeoutError) return true
-  return err instanceof Error && 'syscall' in err && err.syscall === 'connect'
+function describeBody ({ body, req }: CallerExchange, { bodyLimitBytes }: Forward): ExchangeBody | undefined {
+  if (body.complete) {
+    return body.bytes.length === 0 ? undefined : { prefix: body.bytes, lengthBytes: body.bytes.length }
+  }
+  const declared = req.headers['content-length']
+  return {
+    prefix: body.bytes,
+    rest: req,
+    lengthBytes: declared === undefined ? undefined : Number(declared),
+    limitBytes: bodyLimitBytes
+  }
 }
--- a/packages/runtime/src/gateway/createCallerServer.ts
+++ b/packages/runtime/src/gateway/createCallerServer.ts
@@ -1,18 +1,33 @@
-import { type Fingerprint, type IdempotencyKey, type KeyHash, type RequestId, toId } from '@lavenderturn/types'
+import {
+  type Fingerprint, type IdempotencyKey, type KeyHash, type Millis, millis, type RequestId, toId
+} from '@lavenderturn/types'
 import { createHash, randomUUID } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { readPrefix } from '../readPrefix'
+import { headers } from '../headers'
+import type { ExchangeCounter } from '../lifecycle/ExchangeCounter'
+import { type BodyPrefix, readPrefix } from '../readPrefix'
+import { refuseMalformed } from '../refuseMalformed'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
 import type { GatewayHandler } from './GatewayHandler'
+import { isPlainTarget } from './isPlainTarget'
+import { listSecretForms, targetHoldsSecret } from './listSecretForms'
 
 /** Bodies up to this size are held whole, so that an attempt can be sent again. */
 const BODY_BUFFER_BYTES = 65_536
 
+/** Longest pause of a caller that sends the first part of its body. */
+const BODY_IDLE_TIMEOUT_MS = 30_000
+
+/** Idle connections of callers are closed after this time; Node announces it to them in `keep-alive`. */
+export const CALLER_KEEP_ALIVE_MS = 5_000
+
 /** @public */
 export interface CallerServerOptions {
   readonly runtime: Runtime
   readonly handler: GatewayHandler
+  /** Counts open exchanges for a planned stop. */
+  readonly counter?: ExchangeCounter
 }
 
 /**
@@ -22,12 +37,17 @@
  * @returns the server, not yet listening
  * @public
  */
-export function createCallerServer ({ runtime, handler }: CallerServerOptions): Server {
-  return createServer((req, res) => {
+export function createCallerServer ({ runtime, handler, counter }: CallerServerOptions): Server {
+  // A long upload must not be cut, so that the time for a whole request is not limited here.
+  const options = { keepAliveTimeout: CALLER_KEEP_ALIVE_MS, requestTimeout: 0, insecureHTTPParser: false }
+  const server = createServer(options, (req, res) => {
+    counter?.open(res)
     acceptRequest({ runtime, handler }, req, res).catch(() => {
-      if (!res.headersSent && !res.destroyed) sendProblem(res, { result: 'malformedRequest' })
+      if (!res.headersSent && !res.destroyed) sendProblem({ req, res, result: 'malformedRequest' })
     })
   })
+  refuseMalformed(server)
+  return server
 }
 
 async function acceptRequest (
@@ -35,26 +55,36 @@
   req: IncomingMessage,
   res: ServerResponse
 ): Promise<void> {
-  const body = await readPrefix(req, BODY_BUFFER_BYTES)
   const requestId = toId<RequestId>(randomUUID())
+  // A coding other than `chunked` would be lost on the way, because framing is set anew on each connection.
+  if (!isPlainTarget(req.url!) || (req.headers['transfer-encoding'] ?? 'chunked').toLowerCase() !== 'chunked') {
+    sendProblem({ req, res, result: 'malformedRequest', requestId })
+    return
+  }
+  const body = await readPrefix({
+    body: req, limitBytes: BODY_BUFFER_BYTES, idleTimeoutMs: BODY_IDLE_TIMEOUT_MS
+  })
   const key = readKey(req)
-  handler.open({ requestId, req, res, key, body, bodyConsumed: false, aborts: new Map() })
+  const keyHash = key === undefined ? undefined : hashKey(key)
+  const secrets = listSecretForms(key)
+  handler.open({ requestId, req, res, secrets, body, bodyConsumed: false, attempts: new Map() })
   runtime.dispatch({
     slice: 'gateway',
     type: 'requestArrived',
     requestId,
     method: req.method!,
     path: req.url!.split('?', 1)[0]!,
-    keyHash: key === undefined ? undefined : hashKey(key),
-    keyInTarget: key !== undefined && req.url!.includes(key),
-    bodyBytes: body.complete ? body.bytes.length : readContentLength(req),
+    keyHash,
+    keyInTarget: targetHoldsSecret(req.url!, secrets),
+    bodyBytes: measureBody(req, body),
     idempotencyKey: readIdempotencyKey(req),
-    fingerprint: computeFingerprint(req, key, body.bytes)
+    fingerprint: computeFingerprint({ req, owner: findOwner(runtime, keyHash), prefix: body.bytes }),
+    timeout: readTimeout(req)
   })
 }
 
 function readKey (req: IncomingMessage): string | undefined {
-  const match = /^Bearer +(\S+)$/i.exec(req.headers.authorization ?? '')
+  const match = /^Bearer +(\S+) *$/i.exec(req.headers.authorization ?? '')
   return match?.[1]
 }
 
@@ -69,9 +99,14 @@
   return toId(createHash('sha256').update(key).digest('hex'))
 }
 
-function readContentLength (req: IncomingMessage): number | undefined {
-  const value = req.headers['content-length']
-  return value === undefined ? undefined : Number(value)
+/**
+ * @param req - the request
+ * @param body - what was read of its body
+ * @returns the size of the body, or a lower bound when it is not known yet
+ */
+function measureBody (req: IncomingMessage, body: BodyPrefix): number {
+  const declared = req.headers['content-length']
+  return declared === undefined || body.complete ? body.bytes.length : Number(declared)
 }
 
 function readIdempotencyKey (req: IncomingMessage): IdempotencyKey | undefined {
@@ -79,8 +114,25 @@
   return typeof value === 'string' && value !== '' ? toId(value) : undefined
 }
 
-function computeFingerprint (req: IncomingMessage, key: string | undefined, prefix: Buffer): Fingerprint {
-  const hash = createHash('sha256')
-  hash.update(`${key === undefined ? '' : hashKey(key)}\n${req.method} ${req.url}\n`)
-  return toId(hash.update(prefix).digest('hex').slice(0, 32))
+function readTimeout (req: IncomingMessage): Millis | undefined {
+  const value = req.headers[headers.deadline]
+  return typeof value === 'string' && /^\d{1,9}$/.test(value) ? millis(Number(value)) : undefined
+}
+
+function findOwner (runtime: Runtime, keyHash: KeyHash | undefined): string {
+  if (keyHash === undefined) return ''
+  // A team that sends a request again with another of its keys sends the same request.
+  return runtime.query(({ control }) => control.document?.findTeamByKey(keyHash)) ?? keyHash
+}
+
+interface FingerprintOptions {
+  readonly req: IncomingMessage
+  readonly owner: string
+  readonly prefix: Buffer
+}
+
+function computeFingerprint ({ req, owner, prefix }: FingerprintOptions): Fingerprint {
+  const hash = createHash('sha256').update(`${owner}\n${req.method} ${req.url}\n`)
+  // The prefix ends where a chunk of the connection ends, which differs from one arrival to the next.
+  return toId(hash.update(prefix.subarray(0, BODY_BUFFER_BYTES)).digest('hex').slice(0, 32))
 }
--- /dev/null
+++ b/packages/runtime/src/journal/Journal.ts
@@ -0,0 +1,61 @@
+import type { NodeEvent, NodeIdentity, OutwardEffect } from '@lavenderturn/decisions'
+import { StepObserver } from '../Runtime'
+import { describeRecord } from './describeRecord'
+import { HybridClock } from './HybridClock'
+import type { JournalPage, JournalRecord } from './JournalRecord'
+
+/** At 108 req/s and about 12 records a request this holds 25 s; a record takes about 400 bytes. */
+const CAPACITY = 32_768
+
+/** @public */
+export interface JournalOptions {
+  readonly identity: NodeIdentity
+  readonly clock?: HybridClock
+  /** Records that are held; older ones are overwritten. */
+  readonly capacity?: number
+}
+
+/** Keeps the latest events and effects of a node. @public */
+export class Journal extends StepObserver {
+  private readonly identity: NodeIdentity
+  private readonly clock: HybridClock
+  private readonly capacity: number
+  private readonly startedAtMs = Date.now()
+  private readonly ring: JournalRecord[] = []
+  private nextSeq = 0
+
+  constructor ({ identity, clock = new HybridClock(), capacity = CAPACITY }: JournalOptions) {
+    super()
+    this.identity = identity
+    this.clock = clock
+    this.capacity = capacity
+  }
+
+  override observe (event: NodeEvent, effects: readonly OutwardEffect[]): void {
+    this.add('event', event)
+    for (const effect of effects) this.add('effect', effect)
+  }
+
+  /**
+   * Reads the records that are still held.
+   *
+   * @param after - number of the last record that the reader has; -1 for all
+   * @returns the records, oldest first
+   */
+  read (after = -1): JournalPage {
+    const { nodeId: node, dataCentre } = this.identity
+    const firstSeq = Math.max(0, this.nextSeq - this.capacity)
+    const records: JournalRecord[] = []
+    for (let seq = Math.max(firstSeq, after + 1); seq < this.nextSeq; seq++) {
+      records.push(this.ring[seq % this.capacity]!)
+    }
+    return { node, dataCentre, startedAtMs: this.startedAtMs, firstSeq, nextSeq: this.nextSeq, records }
+  }
+
+  private add (kind: JournalRecord['kind'], source: NodeEvent | OutwardEffect): void {
+    // Timers are set and cleared with each request and tell nothing that their events do not.
+    if (source.slice === 'timer') return
+    const seq = this.nextSeq++
+    this.ring[seq % this.capacity] = { seq, time: this.clock.next(), kind, ...describeRecord(source) }
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/refuseMalformed.ts
@@ -0,0 +1,41 @@
+import { resultCodes } from '@lavenderturn/types'
+import type { Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { formatProblem } from './sendProblem'
+
+/** Status of a request whose head is larger than the parser accepts. */
+const HEADERS_TOO_LARGE = 431
+
+/**
+ * Answers requests that the HTTP parser rejects, and those that ask for a tunnel.
+ *
+ * @param server - an HTTP server
+ * @internal
+ */
+export function refuseMalformed (server: Server): void {
+  server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+    // The caller is gone, or an answer has begun that a second one would corrupt.
+    if (err.code === 'ECONNRESET' || !socket.writable || hasAnswerBegun(socket)) {
+      socket.destroy()
+      return
+    }
+    answerRaw(socket, err.code === 'HPE_HEADER_OVERFLOW' ? HEADERS_TOO_LARGE : resultCodes.malformedRequest.status)
+  })
+  server.on('connect', (_, socket) => { answerRaw(socket, resultCodes.malformedRequest.status) })
+}
+
+function hasAnswerBegun (socket: Duplex): boolean {
+  return (socket as { _httpMessage?: { headersSent: boolean } })._httpMessage?.headersSent === true
+}
+
+function answerRaw (socket: Duplex, status: number): void {
+  const body = formatProblem({ result: 'malformedRequest' })
+  socket.end([
+    `HTTP/1.1 ${status} Bad Request`,
+    'content-type: application/problem+json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body
+  ].join('\r\n'))
+}
--- a/packages/runtime/src/sendProblem.ts
+++ b/packages/runtime/src/sendProblem.ts
@@ -1,25 +1,61 @@
-import { type ResultName, resultCodes, type RunState } from '@lavenderturn/types'
-import type { ServerResponse } from 'node:http'
+import { type RequestId, type ResultName, resultCodes, type RunState } from '@lavenderturn/types'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { headers } from './headers'
+
+/**
+ * Time that a caller gets to read a refusal while it still sends its body. Closing at once would reset the connection,
+ * and the refusal could be lost.
+ */
+const LINGER_MS = 2_000
 
 /** @internal */
 export interface Problem {
+  readonly req: IncomingMessage
+  /** The response, whose head has not been sent. */
+  readonly res: ServerResponse
   readonly result: ResultName
+  /** What is known of the run, where it differs from the usual one of the result. */
   readonly run?: RunState
   readonly detail?: string
+  readonly requestId?: RequestId
+}
+
+/**
+ * Answers with problem details (RFC 9457). A connection on which part of the body is still to come is closed.
+ *
+ * @param problem - result, what is known of the run, and a detail
+ * @internal
+ */
+export function sendProblem ({ req, res, result, run, detail, requestId }: Problem): void {
+  const { status } = resultCodes[result]
+  const body = formatProblem({ result, run, detail })
+  if (!req.complete) closeAfterAnswer(req, res)
+  res.writeHead(status, {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(body),
+    ...(requestId === undefined ? {} : { [headers.request]: requestId })
+  })
+  res.end(body)
 }
 
 /**
- * Answers with problem details (RFC 9457).
+ * Writes problem details.
  *
- * @param res - the response, whose head has not been sent
  * @param problem - result, what is known of the run, and a detail
+ * @returns JSON
  * @internal
  */
-export function sendProblem (res: ServerResponse, { result, run, detail }: Problem): void {
+export function formatProblem ({ result, run, detail }: Pick<Problem, 'detail' | 'result' | 'run'>): string {
   const { code, status, title, run: usualRun } = resultCodes[result]
-  const body = JSON.stringify({
+  return JSON.stringify({
     type: `https://lavenderturn.example/result-codes#${code}`, title, status, code, run: run ?? usualRun, detail
   })
-  res.writeHead(status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body) })
-  res.end(body)
+}
+
+function closeAfterAnswer (req: IncomingMessage, res: ServerResponse): void {
+  res.shouldKeepAlive = false
+  res.once('finish', () => {
+    req.resume()
+    setTimeout(() => { if (!req.complete) req.destroy() }, LINGER_MS).unref()
+  })
 }
