--- a/packages/decisions/src/admission/AdmissionEffect.ts
+++ b/packages/decisions/src/admission/AdmissionEffect.ts
@@ -10,6 +10,9 @@
   readonly address: Address
   /** Time left until the deadline. */
   readonly timeout: Millis
+  /** Silence after which the connection is given up, when the backend server answers probes; by default a share of
+   * `timeout`. */
+  readonly silentAfter?: Millis
 }
 
 /** Tells the gateway that an attempt was not dispatched. @public */
@@ -27,6 +30,7 @@
   readonly slice: 'admission'
   readonly type: 'failWork'
   readonly attemptId: AttemptId
+  readonly result: ResultName
   /** Boot id of the backend server if it died; such a request must not be retried automatically. */
   readonly crashedBoot?: BootId
   readonly load?: LoadReport
--- a/packages/decisions/src/admission/AdmissionState.ts
+++ b/packages/decisions/src/admission/AdmissionState.ts
@@ -1,6 +1,7 @@
 import type {
   Address, AttemptId, BootId, EndpointId, Fingerprint, Millis, RouteId, ServiceId, TeamId
 } from '@lavenderturn/types'
+import type { FailureReason } from '../gateway/GatewayEvent'
 import type { LimitState } from './ConcurrencyLimit'
 import type { RouteTiming } from './RouteTiming'
 import type { TeamQueues } from './TeamQueues'
@@ -41,6 +42,8 @@
   readonly deadline: Millis
   phase: 'queued' | 'dispatched'
   dispatchedAt?: Millis
+  /** Why the exchange broke, while a probe finds out whether the backend server died. */
+  failure?: FailureReason
   /** Life of the backend server that it was dispatched to. */
   bootId?: BootId
   /** When the backend server had the whole body; its service time counts from here. */
--- a/packages/decisions/src/admission/confirmCrash.ts
+++ b/packages/decisions/src/admission/confirmCrash.ts
@@ -48,11 +48,13 @@
   return { suspects, effects: suspects.map((work) => failWork(state, work, crashed)) }
 }
 
-function failWork (state: NodeState, { attemptId, endpoint, fingerprint, bootId }: Work, crashed: boolean): NodeEffect {
+function failWork (state: NodeState, work: Work, crashed: boolean): NodeEffect {
+  const { attemptId, endpoint, fingerprint, bootId } = work
   return {
     slice: 'admission',
     type: 'failWork',
     attemptId,
+    result: work.failure === 'truncated' ? 'answerIncomplete' : 'outcomeUnknown',
     // An exchange that breaks after the crash was confirmed belongs to the same crash.
     crashedBoot: crashed || isSuspect(state, fingerprint) ? bootId : undefined,
     load: describeLoad(state, endpoint)
--- a/packages/decisions/src/admission/endWork.ts
+++ b/packages/decisions/src/admission/endWork.ts
@@ -33,6 +33,7 @@
   const effects = outcome.kind === 'failed'
     ? handleFailure(state, server, work, outcome)
     : noticeBoot(state, server, outcome)
+  if (outcome.kind === 'shed') effects.push(...rejectWork(state, work, 'noEndpoint'))
   effects.push(...observeWork(state, server, work, outcome))
   return effects.concat(startQueued(state, server))
 }
@@ -56,6 +57,7 @@
     return reason === 'connect' ? [...rejected, ...loseServer(state, server)] : rejected
   }
   // The gateway gets its answer after the probe, which tells whether the request may have killed the server.
+  work.failure = reason
   server.broken.set(work.attemptId, work)
   const { endpoint, address } = server
   return [{ slice: 'health', type: 'probeServer', endpoint, address }]
--- a/packages/decisions/src/gateway/GatewayEvent.ts
+++ b/packages/decisions/src/gateway/GatewayEvent.ts
@@ -4,8 +4,13 @@
 import type { LoadReport } from '../health/LoadReport'
 import type { EventBase } from '../NodeEvent'
 
-/** Why an exchange with another node or a backend server ended without a whole answer. @public */
-export type FailureReason = 'connect' | 'reset' | 'timeout' | 'truncated' | 'silent' | 'crossed'
+/**
+ * Why an exchange with another node or a backend server ended without a whole answer. `cancelled` says nothing of the
+ * other side: this side gave up.
+ *
+ * @public
+ */
+export type FailureReason = 'connect' | 'reset' | 'timeout' | 'truncated' | 'silent' | 'crossed' | 'cancelled'
 
 /** A caller's request arrived, with its body up to the buffer limit. @public */
 export interface RequestArrived extends EventBase {
@@ -18,7 +23,7 @@
   readonly keyHash?: KeyHash
   /** The caller put its key into the target, where a backend server would see it. */
   readonly keyInTarget: boolean
-  /** Declared or measured size; undefined for a chunked body that is not complete yet. */
+  /** Declared or measured size; a lower bound for a chunked body that is not complete yet. */
   readonly bodyBytes?: number
   readonly idempotencyKey?: IdempotencyKey
   readonly fingerprint: Fingerprint
@@ -84,9 +89,9 @@
   readonly result: ResultName
   /** With `outcomeUnknown`: the backend server died during the attempt, and this was its boot id. */
   readonly crashedBoot?: BootId
-  /** Whether the body can be sent again; with results that do not state "not run". */
-  readonly replayable?: boolean
   readonly load?: LoadReport
+  /** Whether the body can be sent again; absent means that it can. */
+  readonly replayable?: boolean
 }
 
 /** An attempt ended without a whole answer. @public */
--- a/packages/decisions/src/gateway/handleForwardFailure.ts
+++ b/packages/decisions/src/gateway/handleForwardFailure.ts
@@ -31,7 +31,8 @@
     effects.push(...markCrash(state, request.fingerprint, { endpoint, bootId: event.crashedBoot }))
   }
   if (resultCodes[event.result].run === 'not-run') {
-    if (event.result === 'unconfirmed') return effects.concat(confirmRequest(state, request))
+    if (event.result === 'unconfirmed' && event.replayable !== false) return effects.concat(confirmRequest(state, request))
+    if (event.replayable === false) return effects.concat(refuseRequest(state, request, { result: event.result }))
     return effects.concat(retryOrRefuse(state, request, event.result))
   }
   return effects.concat(handleUnknown(state, request, event.result, event.replayable ?? false))
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -1,24 +1,57 @@
 import {
   describeLoad, type Dispatch, type FailWork, type LoadReport, type OutwardEffect, type Reject, type WorkOutcome
 } from '@lavenderturn/decisions'
-import { type AttemptId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
-import { pipeline } from 'node:stream/promises'
-import { Agent, type Dispatcher } from 'undici'
+import { type AttemptId, type BootId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
+import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
+import { ExchangeAgent } from '../exchange/ExchangeAgent'
+import { ExchangeError } from '../exchange/ExchangeError'
+import type { AttemptState } from '../exchange/probeAddress'
+import { hasFraming } from '../gateway/hasFraming'
 import { headers, selectHeaders } from '../headers'
-import { isConnectError } from '../isConnectError'
+import { HybridClock } from '../journal/HybridClock'
 import { formatLoad } from '../loadHeader'
+import { type BodyPrefix, readPrefix } from '../readPrefix'
+import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
 import type { ForwardExchange } from './ForwardExchange'
 
+/** Servers that announce no keep-alive time close idle connections after 5 s at the earliest (Node, Apache). */
+const BACKEND_IDLE_MS = 4_000
+
+/** How long a backend server may take to answer `expect: 100-continue`; one that ignores it gets the body then. */
+const CONTINUE_TIMEOUT_MS = 50
+
+/**
+ * Share of the time left to the deadline that a backend server may be silent, when it answers probes but does not
+ * tell of the attempt. A smaller share cuts requests that are merely slow.
+ */
+const SILENT_SHARE = 0.75
+
+/** @public */
+export interface AdmissionHandlerOptions {
+  readonly clock?: HybridClock
+  readonly progress?: Partial<ExchangeOptions['progress']>
+}
+
+interface Answer {
+  readonly response: IncomingMessage
+  readonly prefix: BodyPrefix
+}
+
 /** Dispatches attempts to the backend servers beside this node. @public */
 export class AdmissionHandler extends EffectHandler {
   override readonly slices = ['admission'] as const
   private readonly exchanges = new Map<AttemptId, ForwardExchange>()
-  private readonly agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 })
+  private readonly agent = new ExchangeAgent({ idleTimeoutMs: BACKEND_IDLE_MS })
+  private readonly clock: HybridClock
+  private readonly progress: Partial<ExchangeOptions['progress']>
 
-  constructor (private readonly runtime: Runtime) {
+  constructor (private readonly runtime: Runtime, { clock, progress = {} }: AdmissionHandlerOptions = {}) {
     super()
+    this.clock = clock ?? new HybridClock()
+    this.progress = progress
   }
 
   /**
@@ -28,13 +61,31 @@
    * @param exchange - request and response
    */
   open (attemptId: AttemptId, exchange: ForwardExchange): void {
+    this.clock.receive(exchange.req.headers[headers.clock])
     this.exchanges.set(attemptId, exchange)
     exchange.res.once('close', () => {
-      if (!this.exchanges.delete(attemptId)) return
+      const isCancelled = !exchange.res.writableFinished
+      this.exchanges.delete(attemptId)
+      if (!isCancelled) return
       this.runtime.dispatch({ slice: 'admission', type: 'workCancelled', attemptId })
+      // The effect of this event finds no exchange any more.
+      exchange.backend?.cancel()
     })
   }
 
+  /**
+   * Tells a gateway how its attempt stands. `stalled` means that this side waits for bytes, or to get rid of bytes: a
+   * gateway that waits too knows that the connection between them is silent.
+   *
+   * @param attemptId - an attempt
+   * @returns its state here
+   */
+  describeAttempt (attemptId: AttemptId): AttemptState {
+    const exchange = this.exchanges.get(attemptId)
+    if (exchange === undefined) return 'closed'
+    return exchange.backend?.isWaitingForBody === true || exchange.res.writableNeedDrain ? 'stalled' : 'open'
+  }
+
   override run (effect: OutwardEffect): void {
     if (effect.slice !== 'admission') return
     const exchange = this.exchanges.get(effect.attemptId)
@@ -43,84 +94,145 @@
         void this.dispatch(effect, exchange)
         break
       case 'reject':
-        if (exchange !== undefined) this.reject(effect.attemptId, exchange, effect)
+        if (exchange !== undefined) this.reject(exchange, effect)
         break
       case 'failWork':
-        if (exchange !== undefined) this.fail(effect, exchange)
+        if (exchange !== undefined) this.fail(exchange, effect)
         break
       case 'cancelDispatch':
-        exchange?.abort?.abort()
+        exchange?.backend?.cancel()
     }
   }
 
   override async stop (): Promise<void> {
-    await this.agent.close()
+    this.agent.destroy()
   }
 
-  private reject (attemptId: AttemptId, { res }: ForwardExchange, { result, load }: Reject): void {
-    this.exchanges.delete(attemptId)
-    const status = resultCodes[result].status
-    res.writeHead(status, { [headers.attempt]: attemptId, [headers.result]: result, ...formatLoadHeader(load) })
-    res.end()
+  private async dispatch (effect: Dispatch, exchange: ForwardExchange | undefined): Promise<void> {
+    const outcome = exchange === undefined || exchange.res.destroyed
+      ? { kind: 'failed', reason: 'cancelled', sent: false } as const
+      : await this.runBackend(effect, exchange)
+    // A failure is answered by the reducer's `reject` or `failWork`.
+    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', attemptId: effect.attemptId, outcome })
   }
 
-  private fail ({ attemptId, crashedBoot, load }: FailWork, { res }: ForwardExchange): void {
-    this.exchanges.delete(attemptId)
-    const result: ResultName = 'outcomeUnknown'
-    res.writeHead(resultCodes[result].status, {
-      [headers.attempt]: attemptId,
-      [headers.result]: result,
-      ...(crashedBoot === undefined ? {} : { [headers.crashedBoot]: crashedBoot }),
-      ...formatLoadHeader(load)
+  private async runBackend (effect: Dispatch, exchange: ForwardExchange): Promise<WorkOutcome> {
+    const backend = this.createBackendExchange(effect, exchange)
+    exchange.backend = backend
+    const timer = setTimeout(() => { backend.cancel('timeout') }, Math.max(0, effect.timeout))
+    try {
+      const answer = await this.readAnswer(backend, effect.attemptId, exchange)
+      clearTimeout(timer)
+      return await this.relay(effect, exchange, backend, answer)
+    } catch (err) {
+      const failure = err instanceof ExchangeError ? err : backend.describeFailure(err)
+      backend.cancel()
+      const { reason, sent } = failure
+      return { kind: 'failed', reason, sent }
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  private createBackendExchange (effect: Dispatch, exchange: ForwardExchange): Exchange {
+    const { req, res } = exchange
+    const body = describeBody(req)
+    return new Exchange({
+      agent: this.agent,
+      address: effect.address,
+      attemptId: effect.attemptId,
+      method: req.method!,
+      path: req.url!,
+      headers: {
+        ...selectHeaders(req.headers),
+        [headers.request]: exchange.requestId,
+        [headers.attempt]: effect.attemptId,
+        [headers.deadline]: String(Math.max(0, Math.round(effect.timeout)))
+      },
+      body,
+      expectContinue: exchange.expectsContinue && body !== undefined,
+      continueTimeoutMs: CONTINUE_TIMEOUT_MS,
+      progress: { silentAfterMs: effect.silentAfter ?? effect.timeout * SILENT_SHARE, ...this.progress },
+      // The gateway may send the body only now: from here on it cannot go to another endpoint.
+      onBodyStarted: () => { if (exchange.expectsContinue && !res.destroyed) res.writeContinue() }
     })
-    res.end()
   }
 
-  private async dispatch (effect: Dispatch, exchange: ForwardExchange | undefined): Promise<void> {
-    const outcome = exchange === undefined
-      ? { kind: 'failed', reason: 'reset', sent: false } as const
-      : await this.exchangeWithServer(effect, exchange)
-    // A failure is answered by `failWork` or `reject`, unless the answer has begun.
-    if (outcome.kind === 'answered' || exchange?.res.headersSent === true) this.exchanges.delete(effect.attemptId)
-    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', attemptId: effect.attemptId, outcome })
+  private async readAnswer (backend: Exchange, attemptId: AttemptId, { req }: ForwardExchange): Promise<Answer> {
+    const response = await backend.start()
+    const echo = response.headers[headers.attempt]
+    // Backend servers need not echo the attempt, but an answer of another attempt is never passed on.
+    if (echo !== undefined && echo !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
+    if (!hasFraming(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    return { response, prefix: await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES }) }
   }
 
-  private async exchangeWithServer (effect: Dispatch, exchange: ForwardExchange): Promise<WorkOutcome> {
-    const { req, res } = exchange
-    exchange.abort = new AbortController()
-    try {
-      const response = await this.agent.request({
-        origin: `http://${effect.address}`,
-        path: req.url!,
-        method: req.method as Dispatcher.HttpMethod,
-        headers: { ...selectHeaders(req.headers), [headers.deadline]: String(Math.round(effect.timeout)) },
-        body: hasBody(req.headers) ? req : null,
-        signal: exchange.abort.signal
-      })
-      res.writeHead(response.statusCode, {
-        ...selectHeaders(response.headers),
-        [headers.attempt]: effect.attemptId,
-        ...formatLoadHeader(this.runtime.query((state) => describeLoad(state, effect.endpoint, effect.attemptId)))
-      })
-      await pipeline(response.body, res)
-      const bootId = response.headers[headers.bootId]
-      return {
-        kind: 'answered',
-        status: response.statusCode,
-        bootId: typeof bootId === 'string' ? toId(bootId) : undefined
-      }
-    } catch (err) {
-      if (res.headersSent) res.destroy()
-      const sent = !isConnectError(err)
-      return { kind: 'failed', reason: sent ? 'reset' : 'connect', sent }
+  private async relay (
+    { attemptId, endpoint }: Dispatch,
+    { req, res }: ForwardExchange,
+    backend: Exchange,
+    { response, prefix }: Answer
+  ): Promise<WorkOutcome> {
+    const status = response.statusCode!
+    if (status === 503 && response.headers[headers.notRun] === 'true') {
+      backend.finish()
+      return { kind: 'shed' }
     }
+    const load = this.runtime.query((state) => describeLoad(state, endpoint, attemptId))
+    const extra = this.describeAnswer(attemptId, load)
+    const complete = await relayAnswer({ req, res, response, prefix, extra })
+    if (!complete) throw backend.describeFailure()
+    return { kind: 'answered', status, bootId: readBootId(response) }
+  }
+
+  private reject (exchange: ForwardExchange, { attemptId, result, load }: Reject): void {
+    this.answerWithResult(attemptId, exchange, { result, load })
+  }
+
+  private fail (exchange: ForwardExchange, { attemptId, result, crashedBoot, load }: FailWork): void {
+    const extra = crashedBoot === undefined ? {} : { [headers.crashedBoot]: crashedBoot }
+    this.answerWithResult(attemptId, exchange, { result, load, extra })
   }
+
+  private answerWithResult (
+    attemptId: AttemptId,
+    { req, res }: ForwardExchange,
+    { result, load, extra = {} }: ResultAnswer
+  ): void {
+    // An answer that has begun cannot become a result any more; its caller must not take it for a whole one.
+    if (res.headersSent) res.destroy()
+    if (res.destroyed) return
+    // A body that was refused must not be read as the next request of the connection.
+    if (!req.complete) res.shouldKeepAlive = false
+    res.writeHead(resultCodes[result].status, {
+      ...this.describeAnswer(attemptId, load), [headers.result]: result, 'content-length': '0', ...extra
+    })
+    res.end()
+  }
+
+  private describeAnswer (attemptId: AttemptId, load: LoadReport | undefined): OutgoingHttpHeaders {
+    return {
+      [headers.attempt]: attemptId,
+      [headers.clock]: this.clock.stamp(),
+      ...(load === undefined ? {} : { [headers.load]: formatLoad(load) })
+    }
+  }
+}
+
+interface ResultAnswer {
+  readonly result: ResultName
+  readonly load?: LoadReport
+  readonly extra?: OutgoingHttpHeaders
 }
 
-function formatLoadHeader (load: LoadReport | undefined): Record<string, string> {
-  return load === undefined ? {} : { [headers.load]: formatLoad(load) }
+function describeBody (req: IncomingMessage): ExchangeBody | undefined {
+  const declared = req.headers['content-length']
+  if (declared === undefined && req.headers['transfer-encoding'] === undefined) return undefined
+  if (declared === '0') return undefined
+  return { rest: req, lengthBytes: declared === undefined ? undefined : Number(declared) }
 }
 
-function hasBody (received: Readonly<Record<string, string | string[] | undefined>>): boolean {
-  return received['content-length'] !== undefined || received['transfer-encoding'] !== undefined
+function readBootId ({ headers: received }: IncomingMessage): BootId | undefined {
+  const value = received[headers.bootId]
+  return typeof value === 'string' ? toId(value) : undefined
 }
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -1,23 +1,40 @@
 import { createNodeState, type NodeIdentity, type PolicyOptions } from '@lavenderturn/decisions'
 import type { Server } from 'node:http'
-import { AdmissionHandler } from './admission/AdmissionHandler'
+import type { Http2Server } from 'node:http2'
+import { createAdminServer } from './admin/createAdminServer'
+import { AdmissionHandler, type AdmissionHandlerOptions } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
-import { ProcessClock } from './Clock'
+import { type Clock, ProcessClock } from './Clock'
 import { createCallerServer } from './gateway/createCallerServer'
-import { GatewayHandler } from './gateway/GatewayHandler'
+import { GatewayHandler, type GatewayHandlerOptions } from './gateway/GatewayHandler'
 import { createHealthRoutes } from './health/createHealthRoutes'
 import { HealthHandler } from './health/HealthHandler'
+import { HybridClock } from './journal/HybridClock'
+import { Journal } from './journal/Journal'
+import { ExchangeCounter } from './lifecycle/ExchangeCounter'
+import { LifecycleHandler, type LifecycleHandlerOptions } from './lifecycle/LifecycleHandler'
 import { LogHandler, type LogHandlerOptions } from './LogHandler'
-import type { AddRoutes } from './peers/createControlServer'
+import { createMembershipRoutes } from './membership/createMembershipRoutes'
+import { MembershipHandler } from './membership/MembershipHandler'
+import { Metrics } from './metrics/Metrics'
+import { createControlServer } from './peers/createControlServer'
 import { PeerTransports } from './peers/PeerTransports'
-import { Runtime } from './Runtime'
+import { Runtime, type StepObserver } from './Runtime'
 import { TimerHandler } from './TimerHandler'
 
 /** @public */
-export interface NodeOptions extends LogHandlerOptions {
+export interface NodeOptions extends LogHandlerOptions, Pick<LifecycleHandlerOptions, 'exit'> {
   readonly identity: NodeIdentity
   readonly seed?: number
+  /** Monotonic time of the reducer. */
+  readonly clock?: Clock
   readonly policies?: PolicyOptions
+  /** Observers besides the journal and the metrics. */
+  readonly observers?: readonly StepObserver[]
+  /** When an exchange with another node counts as silent. */
+  readonly pathProgress?: GatewayHandlerOptions['progress']
+  /** When an exchange with a backend server counts as silent. */
+  readonly backendProgress?: AdmissionHandlerOptions['progress']
 }
 
 /** A node that has not opened its ports yet. @public */
@@ -25,10 +42,16 @@
   readonly runtime: Runtime
   readonly callerServer: Server
   readonly forwardServer: Server
-  /** Connections to other nodes; closed by the program that stops the node. */
+  /** Answers other nodes' calls (HTTP/2). */
+  readonly controlServer: Http2Server
+  readonly adminServer: Server
+  /** Closes ports in a planned stop. */
+  readonly lifecycle: LifecycleHandler
+  readonly journal: Journal
+  /** The clock that messages to other nodes carry. */
+  readonly hybridClock: HybridClock
+  /** Connections to other nodes; closed when the node has stopped. */
   readonly peers: PeerTransports
-  /** Calls of the slices, for the control port. */
-  readonly controlRoutes: readonly AddRoutes[]
 }
 
 /**
@@ -38,23 +61,44 @@
  * @returns the parts that a program starts and stops
  * @public
  */
-export function createNode ({ identity, seed, policies, log }: NodeOptions): Node {
+export function createNode ({
+  identity, seed, policies, log, exit, observers = [], clock = new ProcessClock(), pathProgress, backendProgress
+}: NodeOptions): Node {
+  const hybridClock = new HybridClock()
+  const journal = new Journal({ identity, clock: hybridClock })
+  const metrics = new Metrics()
   const runtime = new Runtime({
-    // The monotonic clock starts with the process, which may be older than the node.
-    state: createNodeState({ identity, now: new ProcessClock().now(), seed, policies })
+    state: createNodeState({ identity, seed, policies, now: clock.now() }),
+    clock,
+    observers: [journal, metrics, ...observers]
   })
-  const gateway = new GatewayHandler(runtime)
-  const admission = new AdmissionHandler(runtime)
+  const counter = new ExchangeCounter()
+  const gateway = new GatewayHandler(runtime, { clock: hybridClock, progress: pathProgress })
+  const admission = new AdmissionHandler(runtime, { clock: hybridClock, progress: backendProgress })
+  const lifecycle = new LifecycleHandler({ runtime, counter, exit })
   const peers = new PeerTransports()
   const health = new HealthHandler({ runtime, peers, nodeId: identity.nodeId })
-  for (const handler of [gateway, admission, health, new TimerHandler(runtime), new LogHandler({ log })]) {
-    runtime.addHandler(handler)
-  }
+  const membership = new MembershipHandler(runtime, peers)
+  const handlers = [
+    gateway, admission, health, membership, lifecycle, new TimerHandler(runtime), new LogHandler({ log })
+  ]
+  for (const handler of handlers) runtime.addHandler(handler)
+  const callerServer = createCallerServer({ runtime, handler: gateway, counter })
+  const forwardServer = createForwardServer({ runtime, handler: admission, counter })
+  lifecycle.addServer(callerServer)
+  lifecycle.addServer(forwardServer)
   return {
     runtime,
-    peers,
-    controlRoutes: [createHealthRoutes({ runtime, handler: health })],
-    callerServer: createCallerServer({ runtime, handler: gateway }),
-    forwardServer: createForwardServer({ runtime, handler: admission })
+    callerServer,
+    forwardServer,
+    controlServer: createControlServer([
+      createHealthRoutes({ runtime, handler: health }),
+      createMembershipRoutes({ runtime, handler: membership })
+    ]),
+    adminServer: createAdminServer({ runtime, lifecycle, journal, metrics }),
+    lifecycle,
+    journal,
+    hybridClock,
+    peers
   }
 }
