Follow, spread and accept the control document in the reducer

Cause: the control slice knew one event and took every start for fresh. Three checks run inside the program. Virtual time, store and fleet are fixtures.

--- a/packages/decisions/src/NodeEffect.ts
+++ b/packages/decisions/src/NodeEffect.ts
@@ -1,6 +1,7 @@
 import type { Millis, TimerId } from '@lavenderturn/types'
 import type { AdmissionEffect } from './admission/AdmissionEffect'
 import type { ControlEffect } from './control/ControlEffect'
+import type { PlatformEffect } from './control/PlatformEffect'
 import type { GatewayEffect } from './gateway/GatewayEffect'
 import type { HealthEffect } from './health/HealthEffect'
 import type { IdempotencyEffect } from './idempotency/IdempotencyEffect'
@@ -45,6 +46,7 @@
   | LimitsEffect
   | LogEffect
   | MembershipEffect
+  | PlatformEffect
   | QuarantineEffect
   | RaiseEffect
   | TimerEffect
--- /dev/null
+++ b/packages/decisions/src/control/adoptRevision.ts
@@ -0,0 +1,96 @@
+import { applyDelta, type ControlDocument, createDocument, emptyDeclaration } from '@lavenderturn/declaration'
+import { type Revision, toId } from '@lavenderturn/types'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { advanceWrites } from './driveWrites'
+import type { ControlDelta, ControlSnapshot } from './HeadRow'
+import { pushNotices } from './pushNotices'
+import { recordOwners } from './recordOwners'
+
+/** Deltas kept for peers; a peer that is further behind fetches the whole document. */
+const DELTAS_KEPT = 64
+
+/**
+ * Puts deltas into force that follow the present revision without a gap.
+ *
+ * @param state - the node's state
+ * @param deltas - accepted deltas, in any order
+ * @returns notices to peers and changes of owners
+ * @internal
+ */
+export function adoptDeltas (state: NodeState, deltas: readonly ControlDelta[]): NodeEffect[] {
+  const { control } = state
+  const effects: NodeEffect[] = []
+  for (const delta of [...deltas].sort((a, b) => a.revision - b.revision)) {
+    if (delta.revision !== control.revision + 1) continue
+    if (delta.declaration !== undefined) {
+      control.document = applyDelta(control.document ?? createEmptyDocument(), {
+        delta: delta.declaration, revision: delta.revision
+      })
+    }
+    keepDelta(state, delta)
+    effects.push(...recordOwners(state, delta.assignment, 'head'))
+    raiseRevision(state, delta.revision, effects)
+  }
+  return effects.length === 0 ? [] : effects.concat(pushNotices(state), advanceWrites(state))
+}
+
+/**
+ * Puts a whole control document into force if it is newer than the present one.
+ *
+ * @param state - the node's state
+ * @param snapshot - an accepted control document
+ * @returns notices to peers and changes of owners
+ * @internal
+ */
+export function adoptSnapshot (state: NodeState, snapshot: ControlSnapshot): NodeEffect[] {
+  const { control } = state
+  if (snapshot.revision <= control.revision) return []
+  if (control.document?.revision !== snapshot.declarationRevision) {
+    control.document = createDocument({
+      declaration: snapshot.declaration, revision: snapshot.declarationRevision
+    })
+  }
+  control.deltas.clear()
+  const effects = recordOwners(state, snapshot.assignment, 'head')
+  raiseRevision(state, snapshot.revision, effects)
+  return effects.concat(pushNotices(state), advanceWrites(state))
+}
+
+/**
+ * Puts a document into force that is known to be the accepted one.
+ *
+ * @param state - the node's state
+ * @param document - the document
+ * @returns notices to peers
+ * @internal
+ */
+export function adoptDocument (state: NodeState, document: ControlDocument): NodeEffect[] {
+  const { control } = state
+  // Revisions only rise: an older document can arrive late.
+  if (document.revision < control.highestHeard) return []
+  control.headReadAt = state.now
+  if (document.revision <= control.revision) return []
+  control.document = document
+  control.deltas.clear()
+  const effects: NodeEffect[] = []
+  raiseRevision(state, document.revision, effects)
+  return effects.concat(pushNotices(state), advanceWrites(state))
+}
+
+function raiseRevision ({ control }: NodeState, revision: Revision, effects: NodeEffect[]): void {
+  control.revision = revision
+  if (revision > control.highestHeard) control.highestHeard = revision
+  effects.push({
+    slice: 'log', type: 'stateChanged', message: 'control document in force', fields: { revision }
+  })
+}
+
+function keepDelta ({ control }: NodeState, delta: ControlDelta): void {
+  control.deltas.set(delta.revision, delta)
+  control.deltas.delete(toId(delta.revision - DELTAS_KEPT))
+}
+
+function createEmptyDocument (): ControlDocument {
+  return createDocument({ declaration: emptyDeclaration(), revision: toId(0) })
+}
--- /dev/null
+++ b/packages/decisions/src/control/answerCalls.ts
@@ -0,0 +1,87 @@
+import { documentToDeclaration } from '@lavenderturn/declaration'
+import { toId } from '@lavenderturn/types'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import type { ConfirmAsked, DeltasAsked, SnapshotAsked, StatusAsked } from './ControlEvent'
+import { describeFreshness } from './describeFreshness'
+import { MAJORITY_PROOF } from './driveWrites'
+import { refreshHeartbeat } from './hearFreshness'
+import type { ControlSnapshot } from './HeadRow'
+import { isFresh } from './isFresh'
+import { holdMajority } from './majority'
+
+/**
+ * @param state - the node's state
+ * @param event - a peer's question whether its revision is the latest
+ * @returns what this node knows, and whether it may be counted for its data centre
+ * @internal
+ */
+export function answerConfirm (state: NodeState, { callId }: ConfirmAsked): NodeEffect[] {
+  refreshHeartbeat(state, state.identity.dataCentre)
+  return [{
+    slice: 'control',
+    type: 'answerConfirm',
+    callId,
+    report: describeFreshness(state),
+    vouches: state.control.intents.size === 0
+  }]
+}
+
+/**
+ * @param state - the node's state
+ * @param event - a peer's question for deltas
+ * @returns the deltas that follow its revision; none if they do not go back that far
+ * @internal
+ */
+export function answerDeltas ({ control }: NodeState, { callId, since }: DeltasAsked): NodeEffect[] {
+  const { deltas, revision } = control
+  const following = [...deltas.values()].filter((delta) => delta.revision > since)
+  const complete = deltas.has(toId(since + 1))
+  return [{ slice: 'control', type: 'answerDeltas', callId, revision, deltas: complete ? following : [] }]
+}
+
+/**
+ * @param state - the node's state
+ * @param event - a peer's question for the whole control document
+ * @returns the document in force, if there is one
+ * @internal
+ */
+export function answerSnapshot (state: NodeState, { callId }: SnapshotAsked): NodeEffect[] {
+  return [{ slice: 'control', type: 'answerSnapshot', callId, snapshot: takeSnapshot(state) }]
+}
+
+/**
+ * @param state - the node's state
+ * @param event - an operator's question
+ * @returns the state of the control document
+ * @internal
+ */
+export function answerStatus (state: NodeState, { callId }: StatusAsked): NodeEffect[] {
+  const { control, now } = state
+  const reachable = [...control.replies].filter(([, at]) => now - at <= MAJORITY_PROOF).map(([id]) => id)
+  if (!reachable.includes(state.identity.dataCentre)) reachable.push(state.identity.dataCentre)
+  return [{
+    slice: 'control',
+    type: 'answerStatus',
+    callId,
+    status: {
+      revision: control.revision,
+      declarationRevision: control.document?.revision ?? toId(0),
+      highestHeard: control.highestHeard,
+      fresh: isFresh(state),
+      majorityReachable: holdMajority(state, reachable),
+      openIntents: control.intents.size,
+      reachableDataCentres: reachable.sort()
+    }
+  }]
+}
+
+function takeSnapshot ({ control }: NodeState): ControlSnapshot | undefined {
+  if (control.document === undefined) return undefined
+  return {
+    revision: control.revision,
+    declarationRevision: control.document.revision,
+    declaration: documentToDeclaration(control.document),
+    assignment: [...control.assignment.values()]
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/control/assignOwners.ts
@@ -0,0 +1,82 @@
+import { type DomainId, type NodeId, type PartitionId, toId } from '@lavenderturn/types'
+import { hash } from '../hash'
+import type { NodeState } from '../NodeState'
+import { type AssignmentEntry, assignmentKey, domainOf, PARTITION_COUNT } from './Assignment'
+import { isLive } from './pollers'
+
+/**
+ * An owner that this node has never heard of counts as dead only after this time: a node that has just started does
+ * not know all members yet.
+ */
+const UNKNOWN_OWNER_GRACE_MS = 60_000
+
+/**
+ * Assigns owners to the partitions of domains that have none.
+ *
+ * @param state - the node's state
+ * @param domains - the declared domains
+ * @returns the missing entries
+ * @internal
+ */
+export function assignMissing (state: NodeState, domains: readonly DomainId[]): AssignmentEntry[] {
+  const candidates = listCandidates(state)
+  return domains.flatMap((domain) => listPartitions()
+    .filter((partition) => !state.control.assignment.has(assignmentKey(partition, domain)))
+    .map((partition) => ({
+      partition, domain, owner: pickOwner(candidates, partition, domain), epoch: 1, sequence: 0
+    })))
+}
+
+/**
+ * Assigns new owners in place of those that membership holds as dead.
+ *
+ * @param state - the node's state
+ * @returns entries with a higher epoch
+ * @internal
+ */
+export function replaceDeadOwners (state: NodeState): AssignmentEntry[] {
+  const orphaned = [...state.control.assignment.values()].filter(({ owner }) => isGone(state, owner))
+  if (orphaned.length === 0) return []
+  const candidates = listCandidates(state)
+  return orphaned.map(({ partition, domain, epoch }) => ({
+    partition, domain, owner: pickOwner(candidates, partition, domain), epoch: epoch + 1, sequence: 0
+  }))
+}
+
+function isGone (state: NodeState, owner: NodeId): boolean {
+  if (owner === state.identity.nodeId) return false
+  const member = state.membership.members.get(owner)
+  if (member === undefined) return state.now - state.control.startedAt > UNKNOWN_OWNER_GRACE_MS
+  return !isLive(member.status)
+}
+
+interface Candidate {
+  readonly node: NodeId
+  readonly domain: DomainId
+}
+
+function listCandidates (state: NodeState): Candidate[] {
+  const { nodeId } = state.identity
+  const candidates = [{ node: nodeId, domain: domainOf(state, state.identity) }]
+  for (const { record, status } of state.membership.members.values()) {
+    if (record.nodeId === nodeId || !isLive(status)) continue
+    candidates.push({ node: record.nodeId, domain: domainOf(state, record) })
+  }
+  return candidates
+}
+
+/** A domain without live members gets its owners from the other domains. */
+function pickOwner (candidates: readonly Candidate[], partition: PartitionId, domain: DomainId): NodeId {
+  const own = candidates.filter((candidate) => candidate.domain === domain)
+  const eligible = own.length > 0 ? own : candidates
+  let best: { readonly node: NodeId, readonly rank: number } | undefined
+  for (const { node } of eligible) {
+    const rank = hash(`owner/${partition}/${domain}/${node}`)
+    if (best === undefined || rank < best.rank || (rank === best.rank && node < best.node)) best = { node, rank }
+  }
+  return best!.node
+}
+
+function listPartitions (): PartitionId[] {
+  return Array.from({ length: PARTITION_COUNT }, (_, index) => toId<PartitionId>(index))
+}
--- /dev/null
+++ b/packages/decisions/src/control/buildWrite.ts
@@ -0,0 +1,70 @@
+import { createDocument, diffDeclarations, documentToDeclaration, emptyDeclaration } from '@lavenderturn/declaration'
+import { addRevision, type Revision } from '@lavenderturn/types'
+import type { NodeState } from '../NodeState'
+import { type Assignment, type AssignmentEntry, assignmentKey } from './Assignment'
+import { assignMissing, replaceDeadOwners } from './assignOwners'
+import type { ControlChange } from './ControlState'
+import { listHandOvers } from './describeFreshness'
+import type { ControlDelta, ControlSnapshot } from './HeadRow'
+
+/** The content of a write. @internal */
+export interface WriteParts {
+  readonly delta: ControlDelta
+  readonly snapshot: ControlSnapshot
+}
+
+/**
+ * Builds the next revision from the one in force here, which must be the head's.
+ *
+ * @param state - the node's state
+ * @param change - what the write is to change
+ * @returns delta and snapshot, or undefined when there is nothing to change
+ * @internal
+ */
+export function buildWrite (state: NodeState, change: ControlChange): WriteParts | undefined {
+  const revision = addRevision(state.control.revision, 1)
+  return change.kind === 'declaration'
+    ? buildDeclaration(state, change, revision)
+    : buildAssignment(state, revision)
+}
+
+function buildDeclaration (
+  state: NodeState, { declaration }: Extract<ControlChange, { kind: 'declaration' }>, revision: Revision
+): WriteParts {
+  const { assignment, document } = state.control
+  const before = document === undefined ? emptyDeclaration() : documentToDeclaration(document)
+  const { domains } = createDocument({ declaration, revision })
+  const added = assignMissing(state, domains).concat(listHandOvers(state))
+  return {
+    delta: { revision, declaration: diffDeclarations(before, declaration), assignment: added },
+    snapshot: { revision, declarationRevision: revision, declaration, assignment: merge(assignment, added) }
+  }
+}
+
+function buildAssignment (state: NodeState, revision: Revision): WriteParts | undefined {
+  const { assignment, document } = state.control
+  if (document === undefined) return undefined
+  const replaced = replaceDeadOwners(state)
+  const taken = new Set(replaced.map(toKey))
+  const changed = replaced.concat(listHandOvers(state).filter((entry) => !taken.has(toKey(entry))))
+  if (changed.length === 0) return undefined
+  return {
+    delta: { revision, assignment: changed },
+    snapshot: {
+      revision,
+      declarationRevision: document.revision,
+      declaration: documentToDeclaration(document),
+      assignment: merge(assignment, changed)
+    }
+  }
+}
+
+function merge (assignment: Assignment, changed: readonly AssignmentEntry[]): AssignmentEntry[] {
+  const merged = new Map(assignment)
+  for (const entry of changed) merged.set(toKey(entry), entry)
+  return [...merged.values()]
+}
+
+function toKey ({ partition, domain }: AssignmentEntry): string {
+  return assignmentKey(partition, domain)
+}
--- /dev/null
+++ b/packages/decisions/src/control/fetchRevision.ts
@@ -0,0 +1,104 @@
+import { addMillis, type FetchId, millis, type NodeId, toId } from '@lavenderturn/types'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import type { DeltasFetched, FetchFailed, SnapshotFetched } from './ControlEvent'
+import { adoptDeltas, adoptSnapshot } from './adoptRevision'
+import { findPeer } from './pollers'
+
+/** A fetch without an answer is given up after this time and another source is asked. */
+const FETCH_TIMEOUT = millis(500)
+
+/**
+ * Starts to fetch the highest revision heard of, unless it is in force or a fetch is under way.
+ *
+ * @param state - the node's state
+ * @returns the fetch
+ * @internal
+ */
+export function startFetch (state: NodeState): NodeEffect[] {
+  const { control, now } = state
+  if (control.highestHeard <= control.revision) return []
+  if (control.fetch !== undefined && now < addMillis(control.fetch.startedAt, FETCH_TIMEOUT)) return []
+  const sources = listSources(state)
+  if (sources.length === 0) return []
+  const source = sources[uniformInt(state.random, 0, sources.length - 1)]!
+  const fetchId = toId<FetchId>(String(control.nextId++))
+  control.fetch = { id: fetchId, startedAt: now, peer: source === 'store' ? undefined : source }
+  return source === 'store' ? fetchFromStore(state, fetchId) : fetchFromPeer(state, fetchId, source)
+}
+
+/**
+ * @param state - the node's state
+ * @param event - deltas, of which some may be in force already
+ * @returns what follows from the revisions that came into force
+ * @internal
+ */
+export function receiveDeltas (state: NodeState, { fetchId, revision, deltas }: DeltasFetched): NodeEffect[] {
+  const { control } = state
+  const before = control.revision
+  const effects = adoptDeltas(state, deltas)
+  if (control.fetch?.id !== fetchId) return effects
+  const { peer } = control.fetch
+  control.fetch = undefined
+  if (control.revision > before || peer === undefined) return effects.concat(startFetch(state))
+  if (revision > control.revision) return fetchWhole(state, peer)
+  // The peer has heard of the revision but does not hold it yet.
+  control.tellers.delete(peer)
+  return startFetch(state)
+}
+
+/** Fetches the whole document from a peer whose deltas do not go back far enough. */
+function fetchWhole (state: NodeState, node: NodeId): NodeEffect[] {
+  const peer = findPeer(state, node)
+  if (peer === undefined) return []
+  const fetchId = toId<FetchId>(String(state.control.nextId++))
+  state.control.fetch = { id: fetchId, startedAt: state.now, peer: node }
+  return [{ slice: 'control', type: 'fetchSnapshot', fetchId, peer }]
+}
+
+/**
+ * @param state - the node's state
+ * @param event - a whole control document
+ * @returns what follows if it came into force
+ * @internal
+ */
+export function receiveSnapshot (state: NodeState, { fetchId, snapshot }: SnapshotFetched): NodeEffect[] {
+  if (state.control.fetch?.id === fetchId) state.control.fetch = undefined
+  const before = state.control.revision
+  const effects = adoptSnapshot(state, snapshot)
+  // Without progress the next tick asks again, so that a peer that is behind is not asked in a loop.
+  return state.control.revision > before ? effects.concat(startFetch(state)) : effects
+}
+
+/**
+ * Forgets a fetch that failed; the next tick asks another source, so that a failing one is not asked in a loop.
+ *
+ * @param state - the node's state
+ * @param event - the failure
+ * @returns nothing
+ * @internal
+ */
+export function endFetch ({ control }: NodeState, { fetchId }: FetchFailed): NodeEffect[] {
+  if (control.fetch?.id === fetchId) control.fetch = undefined
+  return []
+}
+
+function listSources (state: NodeState): Array<NodeId | 'store'> {
+  const { control } = state
+  const peers = [...control.tellers].filter((node) => findPeer(state, node) !== undefined)
+  const storeKnows = control.head !== undefined && control.head.revision >= control.highestHeard
+  return storeKnows ? [...peers, 'store'] : peers
+}
+
+function fetchFromPeer (state: NodeState, fetchId: FetchId, node: NodeId): NodeEffect[] {
+  const peer = findPeer(state, node)!
+  return [{ slice: 'control', type: 'fetchDeltas', fetchId, peer, since: state.control.revision }]
+}
+
+function fetchFromStore ({ control }: NodeState, fetchId: FetchId): NodeEffect[] {
+  const { revision, delta, snapshot } = control.head!
+  return revision === control.revision + 1
+    ? [{ slice: 'platform', type: 'readDelta', fetchId, digest: delta }]
+    : [{ slice: 'platform', type: 'readSnapshot', fetchId, digest: snapshot }]
+}
--- /dev/null
+++ b/packages/decisions/src/control/fleet.test.ts
@@ -0,0 +1,214 @@
+import { type Fleet, type FleetNode, makeDeclaration, makeFleet } from '@lavenderturn/fixtures'
+import { toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import type { AnswerApply } from './ControlEffect'
+
+const MINUTE_MS = 60_000
+
+function apply (fleet: Fleet, node: FleetNode, team: string, base = node.state.control.document?.revision ?? 0): {
+  answer?: AnswerApply
+} {
+  const result: { answer?: AnswerApply } = {}
+  fleet.call(node, (callId) => ({
+    slice: 'control', type: 'applyAsked', callId, base: toId(base), declaration: makeDeclaration({ teams: [team] })
+  }), (effect) => { result.answer = effect as AnswerApply })
+  return result
+}
+
+/** Share of checks at which the nodes serve. */
+function measureService (fleet: Fleet, nodes: readonly FleetNode[], duration: number): number {
+  const step = 50
+  let served = 0
+  let checks = 0
+  for (let passed = 0; passed < duration; passed += step) {
+    fleet.time.run(step)
+    for (const node of nodes) {
+      checks += 1
+      if (fleet.serves(node)) served += 1
+    }
+  }
+  return served / checks
+}
+
+function startFleet (options: Parameters<typeof makeFleet>[0] = {}): Fleet {
+  const fleet = makeFleet(options)
+  fleet.time.run(2_000)
+  const first = apply(fleet, fleet.nodes[0]!, 'first')
+  fleet.time.run(3_000)
+  expect(first.answer?.result).toBe('applied')
+  return fleet
+}
+
+function listDataCentre (fleet: Fleet, dataCentre: string): FleetNode[] {
+  return fleet.nodes.filter(({ state }) => state.identity.dataCentre === dataCentre)
+}
+
+function isolate (fleet: Fleet, nodes: readonly FleetNode[]): void {
+  for (const node of nodes) {
+    for (const other of fleet.nodes) {
+      if (nodes.includes(other)) continue
+      fleet.network.cut.add(`${node.id}>${other.id}`)
+      fleet.network.cut.add(`${other.id}>${node.id}`)
+    }
+  }
+}
+
+describe('a fleet in virtual time', () => {
+  // Guards against a change that reaches some nodes late, and against refusals while nothing is wrong.
+  it('puts an accepted revision into force everywhere within 0.5 s and never stops serving', () => {
+    const fleet = startFleet({ nodesPerDataCentre: 10 })
+    const result = apply(fleet, fleet.nodes[5]!, 'second')
+    fleet.time.run(500)
+    expect(result.answer?.result).toBe('applied')
+    expect(fleet.nodes.map(({ state }) => state.control.revision)).toEqual(fleet.nodes.map(() => 2))
+    expect(measureService(fleet, fleet.nodes, MINUTE_MS)).toBe(1)
+  })
+
+  // Guards against the loss of all service when the store is down for everyone.
+  it('serves for hours without the store, refuses changes, and accepts them again afterwards', () => {
+    const fleet = startFleet()
+    fleet.store.faults.down = true
+    expect(measureService(fleet, fleet.nodes, 120 * MINUTE_MS)).toBe(1)
+    const refused = apply(fleet, fleet.nodes[1]!, 'refused')
+    fleet.time.run(12_000)
+    expect(refused.answer?.result).toBe('storeUnreachable')
+    fleet.store.faults.down = false
+    fleet.time.run(2_000)
+    const accepted = apply(fleet, fleet.nodes[1]!, 'accepted')
+    fleet.time.run(2_000)
+    expect(accepted.answer?.result).toBe('applied')
+  })
+
+  // Guards against a minority that serves with a key withdrawn elsewhere.
+  it('stops a minority without the store within 2.5 s while the others serve', () => {
+    const fleet = startFleet()
+    const minority = listDataCentre(fleet, 'dc-1')
+    const majority = fleet.nodes.filter((node) => !minority.includes(node))
+    isolate(fleet, minority)
+    for (const { id } of minority) fleet.store.faults.cut.add(id)
+    fleet.time.run(2_550)
+    expect(minority.map(fleet.serves)).toEqual(minority.map(() => false))
+    expect(measureService(fleet, majority, MINUTE_MS)).toBe(1)
+    expect(measureService(fleet, minority, MINUTE_MS)).toBe(0)
+  })
+
+  // Guards against a stale revision after a pause: messages that waited meanwhile carry ages that are too low.
+  it('holds a node back that resumes after a pause', () => {
+    const fleet = startFleet()
+    const [paused, writer] = [fleet.nodes[0]!, fleet.nodes[4]!]
+    fleet.pause(paused, 10_000)
+    fleet.time.run(5_000)
+    const result = apply(fleet, writer, 'second')
+    fleet.time.run(4_999)
+    expect(result.answer?.result).toBe('applied')
+    for (const { id } of fleet.nodes) fleet.network.cut.add(`${id}>${paused.id}`)
+    fleet.store.faults.cut.add(paused.id)
+    fleet.time.run(2)
+    expect(paused.state.control.revision).toBe(1)
+    expect(fleet.serves(paused)).toBe(false)
+  })
+
+  // Guards against a revision that only its writer knows of: the answer is lost, the store goes down, the writer dies.
+  it('stops a fleet that cannot know whether a write was accepted', () => {
+    const fleet = startFleet()
+    const writer = fleet.nodes[4]!
+    fleet.store.faults.loseAnswers = 1
+    const result = apply(fleet, writer, 'second')
+    while (fleet.store.accepted.length < 2) {
+      // Reads need answers; only the answer of the compare-and-set is lost.
+      const written = [...writer.state.control.writes.values()].some(({ phase }) => phase === 'writing')
+      fleet.store.faults.loseAnswers = written ? 1 : 0
+      fleet.time.run(0.1)
+    }
+    fleet.store.faults.down = true
+    fleet.kill(writer)
+    fleet.time.run(3_000)
+    expect(result.answer).toBeUndefined()
+    expect(fleet.nodes.filter(fleet.serves)).toEqual([])
+    fleet.store.faults.down = false
+    fleet.store.faults.loseAnswers = 0
+    fleet.time.run(3_000)
+    expect(fleet.nodes.filter(fleet.serves)).toHaveLength(8)
+  })
+
+  // Guards against "not applied" for a write that took effect.
+  it('settles a lost answer by reading the head back', () => {
+    const fleet = startFleet()
+    const writer = fleet.nodes[4]!
+    const result = apply(fleet, writer, 'second')
+    while (fleet.store.accepted.length < 2) {
+      fleet.store.faults.loseAnswers = [...writer.state.control.writes.values()].some(({ sends }) => sends > 0) ? 1 : 0
+      fleet.time.run(0.1)
+    }
+    fleet.time.run(900)
+    expect(result.answer).toBeUndefined()
+    fleet.store.faults.loseAnswers = 0
+    fleet.time.run(3_000)
+    expect(result.answer).toMatchObject({ result: 'applied', revision: 2 })
+  })
+
+  // Guards against two operators that both believe to have won.
+  it('lets exactly one of two racing operators win', () => {
+    const fleet = startFleet()
+    const results = [fleet.nodes[0]!, fleet.nodes[1]!, fleet.nodes[2]!].map((node, index) => {
+      return apply(fleet, node, `racer-${index}`)
+    })
+    fleet.time.run(5_000)
+    expect(results.map(({ answer }) => answer?.result).sort()).toEqual(['applied', 'staleBase', 'staleBase'])
+    expect(fleet.store.accepted).toHaveLength(2)
+  })
+
+  // Guards against a writer that is cut off from the others and accepts what they cannot learn of.
+  it('refuses a change at a node that reaches the store but no majority', () => {
+    const fleet = startFleet()
+    isolate(fleet, listDataCentre(fleet, 'dc-1'))
+    const result = apply(fleet, listDataCentre(fleet, 'dc-1')[0]!, 'second')
+    fleet.time.run(3_000)
+    expect(result.answer?.result).toBe('noMajority')
+    expect(fleet.store.accepted).toHaveLength(1)
+  })
+
+  // Guards against partitions that stay without an owner, and against a hand-over that is lost in a take-over.
+  it('replaces dead owners and records hand-overs', () => {
+    const fleet = startFleet()
+    const [dead, heir] = [fleet.nodes[0]!, fleet.nodes[3]!]
+    const owned = [...heir.state.control.assignment.values()].filter(({ owner }) => owner === dead.id)
+    expect(owned.length).toBeGreaterThan(0)
+    const handedOver = { ...owned[0]!, owner: heir.id, sequence: 1 }
+    fleet.store.faults.down = true
+    fleet.put(dead, { slice: 'control', type: 'handedOver', entry: handedOver })
+    fleet.time.run(10_000)
+    const entryAt = ({ state }: FleetNode) => state.control.assignment.get(`${handedOver.partition}/${handedOver.domain}`)
+    expect(fleet.nodes.map(entryAt)).toEqual(fleet.nodes.map(() => handedOver))
+    fleet.kill(dead)
+    for (const node of fleet.nodes) fleet.learn(node, dead, 'dead')
+    fleet.time.run(10_000)
+    expect(fleet.store.accepted).toHaveLength(1)
+    fleet.store.faults.down = false
+    fleet.time.run(15_000)
+    const live = fleet.nodes.filter(({ up }) => up)
+    for (const { state } of live) {
+      expect([...state.control.assignment.values()].filter(({ owner }) => owner === dead.id)).toEqual([])
+      expect(state.control.handOvers.size).toBe(0)
+    }
+    expect(live.map(entryAt)).toEqual(live.map(() => handedOver))
+    expect(fleet.store.accepted.at(-1)!.snapshot.assignment).toHaveLength(3 * 64)
+  })
+
+  // Guards against a fleet that cannot start, or catch up, while the store is down.
+  it('gives a node that missed many revisions the whole document from a peer', () => {
+    const fleet = startFleet()
+    const late = fleet.nodes[0]!
+    isolate(fleet, [late])
+    fleet.store.faults.cut.add(late.id)
+    for (let count = 0; count < 70; count += 1) {
+      apply(fleet, fleet.nodes[1]!, `team-${count}`)
+      fleet.time.run(1_000)
+    }
+    fleet.store.faults.down = true
+    fleet.network.cut.clear()
+    fleet.time.run(3_000)
+    expect(late.state.control.revision).toBe(71)
+    expect(late.state.control.document?.findTeam(toId('team-69'))).toBeDefined()
+  })
+})
--- /dev/null
+++ b/packages/decisions/src/control/followHead.ts
@@ -0,0 +1,111 @@
+import { millis, type Revision, toId } from '@lavenderturn/types'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import type { HeadRead, Peer } from './ControlEvent'
+import { hearRevision } from './hearRevision'
+import { expireIntents } from './intents'
+import { freshnessAge } from './isFresh'
+import { findPeer, isPoller } from './pollers'
+import { driveWrites } from './driveWrites'
+
+/** Time between two reads of the head by one poller. */
+const POLL_INTERVAL_MS = 1_000
+
+/** Half a tick of slack, so that a timer that fires early does not halve the rate of reads. */
+const TICK_SLACK_MS = 250
+
+/** A proof of freshness that is older than this is renewed. */
+const RENEWAL_AGE_MS = 900
+
+/** A node whose proof is older than this tries every way to renew it. */
+const LATE_RENEWAL_AGE_MS = 1_400
+
+/** A poller asks the pollers of all data centres while its newest read of the head is older than this. */
+const STORE_SILENT_MS = 1_200
+
+/**
+ * Share of ticks at which a node without answers from pollers reads the head itself. At 2 ticks a second it keeps
+ * 2,600 nodes below the 2,000 reads/s of the store.
+ */
+const FALLBACK_READ_CHANCE = 0.25
+
+/**
+ * Renews the proof that the revision in force is the latest: pollers read the head, other nodes ask a poller.
+ *
+ * @param state - the node's state
+ * @returns reads and questions
+ * @internal
+ */
+export function renewFreshness (state: NodeState): NodeEffect[] {
+  const age = freshnessAge(state.control, state.now)
+  return [...readHeadWhenDue(state, age), ...askPollers(state, age)]
+}
+
+/**
+ * Starts a read of the head.
+ *
+ * @param state - the node's state
+ * @returns the read
+ * @internal
+ */
+export function readHead ({ control, now }: NodeState): NodeEffect[] {
+  control.lastHeadRead = now
+  return [{ slice: 'platform', type: 'readHead', askedAt: now }]
+}
+
+/**
+ * Learns what the head row shows.
+ *
+ * @param state - the node's state
+ * @param event - the head row and when it was asked for
+ * @returns the fetch of a new revision; progress of writes
+ * @internal
+ */
+export function learnHead (state: NodeState, event: HeadRead): NodeEffect[] {
+  const { control } = state
+  const revision = event.head?.revision ?? toId<Revision>(0)
+  if (event.head !== undefined && revision >= (control.head?.revision ?? 0)) control.head = event.head
+  const effects = hearRevision(state, revision)
+  // A row behind the highest revision was read before that was accepted, or was restored from a backup.
+  if (revision >= control.highestHeard && event.askedAt > control.headReadAt) control.headReadAt = event.askedAt
+  expireIntents(state, event)
+  return effects.concat(driveWrites(state, event))
+}
+
+function readHeadWhenDue (state: NodeState, age: number): NodeEffect[] {
+  const { lastHeadRead } = state.control
+  const due = state.now - lastHeadRead >= POLL_INTERVAL_MS - TICK_SLACK_MS
+  if (!due) return []
+  if (isPoller(state)) return readHead(state)
+  const late = age > LATE_RENEWAL_AGE_MS
+  return late && uniformFloat64(state.random) < FALLBACK_READ_CHANCE ? readHead(state) : []
+}
+
+function askPollers (state: NodeState, age: number): NodeEffect[] {
+  const { control, now } = state
+  if (isPoller(state)) {
+    const silent = now - control.headReadAt > STORE_SILENT_MS
+    if (!silent || now - control.lastPollerRound < POLL_INTERVAL_MS - TICK_SLACK_MS) return []
+    control.lastPollerRound = now
+    return listPollers(state).map((peer) => askConfirm(state, peer))
+  }
+  if (age <= RENEWAL_AGE_MS) return []
+  const near = listPollers(state, age <= LATE_RENEWAL_AGE_MS)
+  const peers = near.length > 0 ? near : listPollers(state)
+  if (peers.length === 0) return []
+  return [askConfirm(state, peers[uniformInt(state.random, 0, peers.length - 1)]!)]
+}
+
+function listPollers (state: NodeState, ownDataCentreOnly = false): Peer[] {
+  const { control, identity } = state
+  const nodes = ownDataCentreOnly
+    ? control.pollers.get(identity.dataCentre) ?? []
+    : [...control.pollers.values()].flat()
+  return nodes.flatMap((node) => findPeer(state, node) ?? [])
+}
+
+function askConfirm ({ now }: NodeState, peer: Peer): NodeEffect {
+  return { slice: 'control', type: 'askConfirm', peer, askedAt: millis(now) }
+}
--- a/packages/decisions/src/control/isFresh.ts
+++ b/packages/decisions/src/control/isFresh.ts
@@ -1,4 +1,4 @@
-import { millis } from '@lavenderturn/types'
+import { type Millis, millis } from '@lavenderturn/types'
 import type { NodeState } from '../NodeState'
 
 /**
@@ -8,10 +8,37 @@
 export const FRESHNESS_BOUND = millis(2_500)
 
 /**
+ * Tells whether the node may serve team traffic: it holds the highest revision that it has heard of, and within the
+ * bound either the head was read (by itself, or by a peer whose answer carried the age of the read) or data centres
+ * that hold a majority of the members were heard.
+ *
  * @param state - the node's state
  * @returns whether the node may serve team traffic with its control document
  * @public
  */
 export function isFresh (state: NodeState): boolean {
-  return state.now - state.control.freshAt <= FRESHNESS_BOUND
+  return isFreshAt(state, state.now)
+}
+
+/**
+ * @param state - the node's state
+ * @param at - time of the question, on the node's clock
+ * @returns whether the node may serve team traffic at that time, if no event happens before
+ * @public
+ */
+export function isFreshAt ({ control }: NodeState, at: Millis): boolean {
+  if (control.revision < control.highestHeard) return false
+  return freshnessAge(control, at) <= FRESHNESS_BOUND
+}
+
+/**
+ * @param control - when the head was read and when a majority was heard
+ * @param at - time of the question
+ * @returns age of the newest proof that the revision in force is the latest
+ * @internal
+ */
+export function freshnessAge (
+  { headReadAt, majorityAt }: { readonly headReadAt: Millis, readonly majorityAt: Millis }, at: Millis
+): Millis {
+  return millis(at - Math.max(headReadAt, majorityAt))
 }
--- /dev/null
+++ b/packages/decisions/src/control/pollers.ts
@@ -0,0 +1,109 @@
+import type { DataCentreId, NodeId } from '@lavenderturn/types'
+import { hash } from '../hash'
+import type { MemberRecord } from '../membership/MemberRecord'
+import type { MemberStatus } from '../membership/MembershipState'
+import type { NodeState } from '../NodeState'
+import type { Peer } from './ControlEvent'
+
+/** Nodes of each data centre that read the head: three, so that one or two may fail. */
+export const POLLERS_PER_DATA_CENTRE = 3
+
+/** A member with its place and status; the node itself is always one. */
+interface Seat {
+  readonly node: NodeId
+  readonly dataCentre: DataCentreId
+  readonly status: MemberStatus
+}
+
+/**
+ * Counts members and picks pollers anew. Called on each tick, so that the request path reads counts only.
+ *
+ * @param state - the node's state
+ * @internal
+ */
+export function refreshMembers (state: NodeState): void {
+  const { weights, pollers } = state.control
+  const live = new Map<DataCentreId, NodeId[]>()
+  weights.clear()
+  pollers.clear()
+  for (const seat of listSeats(state)) {
+    // Crashed members count until membership drops them after 24 h; members that left on purpose do not count.
+    if (seat.status !== 'left') weights.set(seat.dataCentre, (weights.get(seat.dataCentre) ?? 0) + 1)
+    if (!isLive(seat.status)) continue
+    const nodes = live.get(seat.dataCentre) ?? []
+    nodes.push(seat.node)
+    live.set(seat.dataCentre, nodes)
+  }
+  for (const [dataCentre, nodes] of live) pollers.set(dataCentre, pickPollers(dataCentre, nodes))
+}
+
+/**
+ * @param state - the node's state
+ * @returns whether this node reads the head for its data centre
+ * @internal
+ */
+export function isPoller (state: NodeState): boolean {
+  const { dataCentre, nodeId } = state.identity
+  return state.control.pollers.get(dataCentre)?.includes(nodeId) ?? false
+}
+
+/**
+ * @param status - status of a member
+ * @returns whether the member takes part
+ * @internal
+ */
+export function isLive (status: MemberStatus): boolean {
+  return status === 'alive' || status === 'suspect'
+}
+
+/**
+ * @param pollers - number of pollers of a data centre
+ * @returns how many of them speak for the data centre
+ * @internal
+ */
+export function pollerQuorum (pollers: number): number {
+  return Math.floor(pollers / 2) + 1
+}
+
+/**
+ * @param state - the node's state
+ * @param node - another node
+ * @returns where it is reached, or undefined if it takes no part or is this node
+ * @internal
+ */
+export function findPeer (state: NodeState, node: NodeId): Peer | undefined {
+  const member = state.membership.members.get(node)
+  if (member === undefined || node === state.identity.nodeId || !isLive(member.status)) return undefined
+  return toPeer(member.record)
+}
+
+/**
+ * @param state - the node's state
+ * @returns all live members but this node
+ * @internal
+ */
+export function listPeers (state: NodeState): Peer[] {
+  return [...state.membership.members.values()]
+    .filter(({ record, status }) => isLive(status) && record.nodeId !== state.identity.nodeId)
+    .map(({ record }) => toPeer(record))
+}
+
+function toPeer ({ nodeId, controlAddress }: MemberRecord): Peer {
+  return { node: nodeId, address: controlAddress }
+}
+
+function * listSeats (state: NodeState): Generator<Seat> {
+  const { nodeId, dataCentre } = state.identity
+  yield { node: nodeId, dataCentre, status: 'alive' }
+  for (const { record, status } of state.membership.members.values()) {
+    if (record.nodeId !== nodeId) yield { node: record.nodeId, dataCentre: record.dataCentre, status }
+  }
+}
+
+function pickPollers (dataCentre: DataCentreId, nodes: readonly NodeId[]): NodeId[] {
+  return nodes
+    .map((node) => ({ node, rank: hash(`poller/${dataCentre}/${node}`) }))
+    .sort((a, b) => a.rank - b.rank || (a.node < b.node ? -1 : 1))
+    .slice(0, POLLERS_PER_DATA_CENTRE)
+    .map(({ node }) => node)
+}
--- a/packages/decisions/src/control/reduceControl.ts
+++ b/packages/decisions/src/control/reduceControl.ts
@@ -1,6 +1,16 @@
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
-import type { ControlEvent, DocumentAccepted } from './ControlEvent'
+import { adoptDocument } from './adoptRevision'
+import { answerConfirm, answerDeltas, answerSnapshot, answerStatus } from './answerCalls'
+import type { ControlEvent } from './ControlEvent'
+import { countAck, endHeadWrite, failObjects, prepareWrite, startApply } from './driveWrites'
+import { endFetch, receiveDeltas, receiveSnapshot } from './fetchRevision'
+import { learnHead } from './followHead'
+import { hearConfirm, hearGossip, recordReply } from './hearFreshness'
+import { hearRevision } from './hearRevision'
+import { acceptPrepare, answerIntent, learnOutcome } from './intents'
+import { recordOwners } from './recordOwners'
+import { startControl, tickControl } from './tickControl'
 
 /**
  * @param state - the node's state
@@ -10,19 +20,30 @@
  */
 export function reduceControl (state: NodeState, event: ControlEvent): NodeEffect[] {
   switch (event.type) {
-    case 'documentAccepted': return acceptDocument(state, event)
+    case 'applyAsked': return startApply(state, event)
+    case 'confirmAnswered': return hearConfirm(state, event)
+    case 'confirmAsked': return answerConfirm(state, event)
+    case 'deltasAsked': return answerDeltas(state, event)
+    case 'deltasFetched': return receiveDeltas(state, event)
+    case 'documentAccepted': return adoptDocument(state, event.document)
+    case 'fetchFailed': return endFetch(state, event)
+    case 'gossipHeard': return hearGossip(state, event)
+    case 'handedOver': return recordOwners(state, [event.entry], 'handOver')
+    case 'headRead': return learnHead(state, event)
+    case 'headWritten': return endHeadWrite(state, event)
+    case 'intentAnswered': return learnOutcome(state, event)
+    case 'intentAsked': return answerIntent(state, event)
+    case 'memberReplied': return recordReply(state, event.node)
+    case 'noticeHeard': return hearRevision(state, event.revision, event.from)
+    case 'objectsFailed': return failObjects(state, event)
+    case 'objectsStored': return prepareWrite(state, event)
+    case 'ownerChanged': return []
+    case 'prepareAnswered': return countAck(state, event)
+    case 'prepareAsked': return acceptPrepare(state, event)
+    case 'snapshotAsked': return answerSnapshot(state, event)
+    case 'snapshotFetched': return receiveSnapshot(state, event)
+    case 'started': return startControl(state)
+    case 'statusAsked': return answerStatus(state, event)
+    case 'ticked': return tickControl(state)
   }
 }
-
-function acceptDocument (state: NodeState, { document }: DocumentAccepted): NodeEffect[] {
-  const current = state.control.document
-  // Revisions only rise: an older document can arrive late from a peer that was paused.
-  if (current !== undefined && document.revision <= current.revision) return []
-  state.control.document = document
-  return [{
-    slice: 'log',
-    type: 'stateChanged',
-    message: 'control document in force',
-    fields: { revision: document.revision }
-  }]
-}
--- /dev/null
+++ b/packages/decisions/src/control/tickControl.ts
@@ -0,0 +1,52 @@
+import { millis, toId } from '@lavenderturn/types'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { driveOverdueWrites } from './driveWrites'
+import { startFetch } from './fetchRevision'
+import { renewFreshness } from './followHead'
+import { refreshHeartbeat } from './hearFreshness'
+import { askIntents } from './intents'
+import { refreshMembers } from './pollers'
+import { maintainAssignment } from './maintainAssignment'
+
+/** Time between two rounds of the periodic work; half of the poll interval, so that a lost answer costs 0.5 s. */
+const TICK_INTERVAL = millis(500)
+
+/**
+ * Starts the periodic work at a random phase, so that nodes that start together do not tick together.
+ *
+ * @param state - the node's state
+ * @returns the timer
+ * @internal
+ */
+export function startControl (state: NodeState): NodeEffect[] {
+  refreshMembers(state)
+  return [scheduleTick(millis(uniformInt(state.random, 0, TICK_INTERVAL)))]
+}
+
+/**
+ * Does the periodic work.
+ *
+ * @param state - the node's state
+ * @returns effects
+ * @internal
+ */
+export function tickControl (state: NodeState): NodeEffect[] {
+  refreshMembers(state)
+  refreshHeartbeat(state, state.identity.dataCentre)
+  return [
+    scheduleTick(TICK_INTERVAL),
+    ...renewFreshness(state),
+    ...askIntents(state),
+    ...startFetch(state),
+    ...driveOverdueWrites(state),
+    ...maintainAssignment(state)
+  ]
+}
+
+function scheduleTick (delay: typeof TICK_INTERVAL): NodeEffect {
+  return {
+    slice: 'timer', type: 'set', id: toId('control/tick'), delay, event: { slice: 'control', type: 'ticked' }
+  }
+}
--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -1,6 +1,9 @@
 import type { OutwardEffect } from '../NodeEffect'
 import type { NodeEvent } from '../NodeEvent'
 import type { NodeState } from '../NodeState'
+import { assertFreshService } from './assertFreshService'
+import { assertHeadWriteProven } from './assertHeadWriteProven'
+import { assertRevisionRises } from './assertRevisionRises'
 import { assertSlotsRespected } from './assertSlotsRespected'
 
 /**
@@ -16,5 +19,10 @@
 export function assertInvariants (state: NodeState, event: NodeEvent, effects: readonly OutwardEffect[]): void {
   for (const effect of effects) {
     if (effect.slice === 'admission' && effect.type === 'dispatch') assertSlotsRespected(state, effect.endpoint)
+    if (effect.slice === 'platform' && effect.type === 'writeHead') assertHeadWriteProven(state, effect)
+    if (event.type === 'requestArrived' && effect.slice === 'gateway' && effect.type === 'forward') {
+      if (effect.team !== undefined) assertFreshService(state)
+    }
   }
+  if (event.slice === 'control') assertRevisionRises(state)
 }
--- a/packages/declaration/src/index.ts
+++ b/packages/declaration/src/index.ts
@@ -1,1 +1,2 @@
 export * from './ControlDocument'
+export * from './stubs'
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -42,6 +42,10 @@
 export type Digest = Branded<string, 'Digest'>
 /** Revision of the control document; only rises. @public */
 export type Revision = Branded<number, 'Revision'>
+/** Identifies one attempt to change the head row, and its writer. @public */
+export type WriterToken = Branded<string, 'WriterToken'>
+/** One fetch of a delta or snapshot. @public */
+export type FetchId = Branded<string, 'FetchId'>
 /** Identifies one life of a backend server process. @public */
 export type BootId = Branded<string, 'BootId'>
 /** Identifies a timer of the reducer. @public */
@@ -86,3 +90,15 @@
 export function addMillis (at: Millis, duration: Millis): Millis {
   return (at + duration) as Millis
 }
+
+/**
+ * Counts on from a revision.
+ *
+ * @param revision - a revision
+ * @param count - how many revisions later
+ * @returns the later revision
+ * @public
+ */
+export function addRevision (revision: Revision, count: number): Revision {
+  return (revision + count) as Revision
+}
