Add clients of the platform and a stand-in that serves them

Cause: the control document needs a table service and an object store. Change: TableStore and ObjectStore with clients for the DynamoDB JSON protocol and S3 REST, signed with aws4; errors tell a failed condition, nothing written and an unknown outcome apart. The stand-in checks signatures and is commanded over an admin port (outage, delay, lost answers).

--- /dev/null
+++ b/packages/platform/src/DynamoTableStore.ts
@@ -0,0 +1,143 @@
+import { ConditionFailedError, OutcomeUnknownError, PlatformError, RejectedError, UnreachableError } from './PlatformError'
+import { type ServiceOptions, SignedClient } from './SignedClient'
+import { type PutOptions, type QueryOptions, type Row, type RowKey, TableStore } from './TableStore'
+
+/** @public */
+export interface DynamoTableStoreOptions extends ServiceOptions {
+  readonly table: string
+}
+
+/** An item as the protocol writes it. */
+interface Item {
+  readonly partition: { readonly S: string }
+  readonly sort: { readonly S: string }
+  readonly version: { readonly N: string }
+  readonly value: { readonly S: string }
+}
+
+/** Errors of the service that mean that the call was refused before it had an effect. */
+const REFUSED_BEFORE_EFFECT = new Set([
+  'ProvisionedThroughputExceededException', 'RequestLimitExceeded', 'ThrottlingException', 'LimitExceededException',
+  'ServiceUnavailable', 'ServiceUnavailableException', 'TransactionConflictException'
+])
+
+/**
+ * Table store over the DynamoDB JSON protocol (API version 2012-08-10). The table has the string keys `partition`
+ * (hash) and `sort` (range).
+ *
+ * @public
+ */
+export class DynamoTableStore extends TableStore {
+  private readonly client: SignedClient
+
+  constructor (private readonly options: DynamoTableStoreOptions) {
+    super()
+    this.client = new SignedClient('dynamodb', options)
+  }
+
+  override async get (key: RowKey): Promise<Row | undefined> {
+    const { Item: item } = await this.read<{ Item?: Item }>('GetItem', { Key: toKey(key), ConsistentRead: true })
+    return item === undefined ? undefined : toRow(item)
+  }
+
+  override async put (row: Row, { expected }: PutOptions = {}): Promise<void> {
+    await this.call('PutItem', { Item: toItem(row), ...toCondition(expected) })
+  }
+
+  override async query ({ partition, prefix = '' }: QueryOptions): Promise<Row[]> {
+    const rows: Row[] = []
+    let start: object | undefined
+    do {
+      const page: { Items: Item[], LastEvaluatedKey?: object } = await this.read('Query', {
+        ConsistentRead: true,
+        KeyConditionExpression: prefix === ''
+          ? '#partition = :partition'
+          : '#partition = :partition AND begins_with(#sort, :prefix)',
+        ExpressionAttributeNames: { '#partition': 'partition', ...(prefix === '' ? {} : { '#sort': 'sort' }) },
+        ExpressionAttributeValues: {
+          ':partition': { S: partition }, ...(prefix === '' ? {} : { ':prefix': { S: prefix } })
+        },
+        ...(start === undefined ? {} : { ExclusiveStartKey: start })
+      })
+      rows.push(...page.Items.map(toRow))
+      start = page.LastEvaluatedKey
+    } while (start !== undefined)
+    return rows
+  }
+
+  override async delete (key: RowKey): Promise<void> {
+    await this.call('DeleteItem', { Key: toKey(key) })
+  }
+
+  override async close (): Promise<void> {
+    await this.client.close()
+  }
+
+  /** A read has no effect, so that its unknown outcome is the same as an unreachable service. */
+  private async read<Answer> (operation: string, input: object): Promise<Answer> {
+    try {
+      return await this.call<Answer>(operation, input)
+    } catch (err) {
+      if (err instanceof OutcomeUnknownError) throw new UnreachableError(operation, { cause: err })
+      throw err
+    }
+  }
+
+  private async call<Answer> (operation: string, input: object): Promise<Answer> {
+    const { status, body } = await this.client.send({
+      method: 'POST',
+      path: '/',
+      headers: {
+        'content-type': 'application/x-amz-json-1.0', 'x-amz-target': `DynamoDB_20120810.${operation}`
+      },
+      body: Buffer.from(JSON.stringify({ TableName: this.options.table, ...input }))
+    })
+    const text = Buffer.from(body).toString()
+    if (status === 200) return JSON.parse(text)
+    throw toError(operation, status, text)
+  }
+}
+
+function toError (operation: string, status: number, text: string): InstanceType<typeof PlatformError> {
+  const name = readErrorName(text)
+  const message = `${operation}: ${status} ${name}`
+  if (name === 'ConditionalCheckFailedException') return new ConditionFailedError(message)
+  if (REFUSED_BEFORE_EFFECT.has(name)) return new UnreachableError(message)
+  // A 500 does not tell whether the write took effect.
+  return status >= 500 ? new OutcomeUnknownError(message) : new RejectedError(message)
+}
+
+function readErrorName (text: string): string {
+  try {
+    return String(JSON.parse(text).__type).replace(/^.*#/, '')
+  } catch {
+    return 'an answer that is not JSON'
+  }
+}
+
+function toCondition (expected: PutOptions['expected']): object {
+  if (expected === undefined) return {}
+  if (expected === 'absent') {
+    return {
+      ConditionExpression: 'attribute_not_exists(#partition)',
+      ExpressionAttributeNames: { '#partition': 'partition' }
+    }
+  }
+  return {
+    ConditionExpression: '#version = :version',
+    ExpressionAttributeNames: { '#version': 'version' },
+    ExpressionAttributeValues: { ':version': { N: String(expected) } }
+  }
+}
+
+function toKey ({ partition, sort }: RowKey): object {
+  return { partition: { S: partition }, sort: { S: sort } }
+}
+
+function toItem ({ partition, sort, version, value }: Row): Item {
+  return { partition: { S: partition }, sort: { S: sort }, version: { N: String(version) }, value: { S: value } }
+}
+
+function toRow ({ partition, sort, version, value }: Item): Row {
+  return { partition: partition.S, sort: sort.S, version: Number(version.N), value: value.S }
+}
--- /dev/null
+++ b/packages/platform/src/S3ObjectStore.ts
@@ -0,0 +1,62 @@
+import { type Digest, toId } from '@lavenderturn/types'
+import { createHash } from 'node:crypto'
+import { ObjectStore } from './ObjectStore'
+import { OutcomeUnknownError, PlatformError, RejectedError, UnreachableError } from './PlatformError'
+import { type ServiceOptions, SignedClient } from './SignedClient'
+
+/** @public */
+export interface S3ObjectStoreOptions extends ServiceOptions {
+  readonly bucket: string
+}
+
+/** Object store over the S3 REST protocol, with path-style addresses. @public */
+export class S3ObjectStore extends ObjectStore {
+  private readonly client: SignedClient
+
+  constructor (private readonly options: S3ObjectStoreOptions) {
+    super()
+    this.client = new SignedClient('s3', options)
+  }
+
+  override async put (bytes: Uint8Array): Promise<Digest> {
+    const digest = digestOf(bytes)
+    const { status } = await this.client.send({
+      method: 'PUT',
+      path: this.pathOf(digest),
+      headers: { 'content-type': 'application/octet-stream', 'x-amz-content-sha256': digest },
+      body: bytes
+    })
+    if (status !== 200) throw toError('PUT', status)
+    return digest
+  }
+
+  override async get (digest: Digest): Promise<Uint8Array | undefined> {
+    const { status, body } = await this.client.send({ method: 'GET', path: this.pathOf(digest) })
+      .catch((err: unknown) => {
+        if (err instanceof OutcomeUnknownError) throw new UnreachableError('GET', { cause: err })
+        throw err
+      })
+    if (status === 404) return undefined
+    if (status !== 200) throw toError('GET', status)
+    if (digestOf(body) !== digest) throw new RejectedError(`the object ${digest} has other content than its name says`)
+    return body
+  }
+
+  override async close (): Promise<void> {
+    await this.client.close()
+  }
+
+  private pathOf (digest: Digest): string {
+    return `/${this.options.bucket}/objects/${digest}`
+  }
+}
+
+function toError (method: string, status: number): InstanceType<typeof PlatformError> {
+  const message = `${method}: ${status}`
+  if (status === 503 || status === 429) return new UnreachableError(message)
+  return status >= 500 ? new OutcomeUnknownError(message) : new RejectedError(message)
+}
+
+function digestOf (bytes: Uint8Array): Digest {
+  return toId(createHash('sha256').update(bytes).digest('hex'))
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,6 @@
+export * from './DynamoTableStore'
+export * from './ObjectStore'
+export * from './PlatformError'
+export * from './S3ObjectStore'
+export { type Credentials, type ServiceOptions } from './SignedClient'
+export * from './TableStore'
--- /dev/null
+++ b/standins/platform/src/index.ts
@@ -0,0 +1,6 @@
+export * from './PlatformEffect'
+export * from './PlatformEvent'
+export * from './PlatformState'
+export * from './reducePlatform'
+export * from './startPlatformStandin'
+export { type StandinCredentials } from './verifySignature'
