--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -2,6 +2,9 @@
 import type { NodeEvent } from '../NodeEvent'
 import type { NodeState } from '../NodeState'
 import { assertFloor } from './assertFloor'
+import { assertFreshService } from './assertFreshService'
+import { assertHeadWriteProven } from './assertHeadWriteProven'
+import { assertRevisionRises } from './assertRevisionRises'
 import { assertSlotsRespected } from './assertSlotsRespected'
 import { assertTakesNewWork } from './assertTakesNewWork'
 
@@ -24,5 +27,10 @@
     if (effect.slice === 'health' && effect.type === 'answerPermit' && effect.answer.kind === 'granted') {
       assertFloor(state, effect.service)
     }
+    if (effect.slice === 'platform' && effect.type === 'writeHead') assertHeadWriteProven(state, effect)
+    if (event.type === 'requestArrived' && effect.slice === 'gateway' && effect.type === 'forward') {
+      if (effect.team !== undefined) assertFreshService(state)
+    }
   }
+  if (event.slice === 'control') assertRevisionRises(state)
 }
--- a/packages/decisions/src/membership/membership.test.ts
+++ b/packages/decisions/src/membership/membership.test.ts
@@ -1,4 +1,4 @@
-import { makeIdentity, makeMember, makeState, readSeed, VirtualTime } from '@lavenderturn/fixtures'
+import { makeIdentity, makeMember, makeState, makeVirtualTime, readSeed, type VirtualTime } from '@lavenderturn/fixtures'
 import { type Address, type CallId, millis, type NodeId, type TimerId, toId } from '@lavenderturn/types'
 import fc from 'fast-check'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
@@ -35,7 +35,7 @@
 const nodeId = (index: number): NodeId => toId(`node-${index}`)
 
 function makeFleet ({ nodes, seed, lossPercent = 0 }: FleetOptions): Fleet {
-  const time = new VirtualTime()
+  const time = makeVirtualTime()
   const random = xoroshiro128plus(seed)
   const states = new Map<NodeId, NodeState>()
   const cuts = new Set<string>()
@@ -47,12 +47,12 @@
   const dispatch = (node: NodeId, event: EventBody): void => {
     const state = states.get(node)
     if (state === undefined) return
-    for (const effect of reduce(state, createEvent(event, time.now))) run(node, effect)
+    for (const effect of reduce(state, createEvent(event, millis(time.now())))) run(node, effect)
   }
   const send = (from: NodeId, to: NodeId, arrive: () => void): void => {
     const lost = uniformInt(random, 0, 99) < lossPercent
     if (lost || cuts.has(`${from}>${to}`) || !states.has(to)) return
-    time.schedule(uniformInt(random, 1, 20), arrive)
+    time.after(uniformInt(random, 1, 20), arrive)
   }
   const call = (from: NodeId, to: NodeId, gossip: Gossip, full: boolean, reply: (gossip: Gossip) => void): void => {
     send(from, to, () => {
@@ -65,7 +65,7 @@
     const key = `${node}/${id}`
     const version = timerVersions++
     timers.set(key, version)
-    time.schedule(delay, () => { if (timers.get(key) === version) dispatch(node, event) })
+    time.after(delay, () => { if (timers.get(key) === version) dispatch(node, event) })
   }
   const run = (node: NodeId, effect: OutwardEffect): void => {
     if (effect.slice === 'membership') runMembership(node, effect)
@@ -148,45 +148,45 @@
   it('spreads a draining backend server to every node within the bound (I11), with lost messages', () => {
     fc.assert(fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
       const fleet = makeFleet({ nodes: 45, seed, lossPercent: 5 })
-      fleet.time.advance(20_000)
+      fleet.time.run(20_000)
       announce(fleet, nodeId(7), 'serving')
-      fleet.time.advance(CHANGE_BOUND_MS)
+      fleet.time.run(CHANGE_BOUND_MS)
       expect(endpointStates(fleet)).toEqual(new Set(['serving']))
       announce(fleet, nodeId(7), 'draining')
-      fleet.time.advance(CHANGE_BOUND_MS)
+      fleet.time.run(CHANGE_BOUND_MS)
       expect(endpointStates(fleet)).toEqual(new Set(['draining']))
     }), readSeed({ numRuns: 10 }))
   })
 
   it('declares a killed node dead everywhere and keeps every live one', () => {
     const fleet = makeFleet({ nodes: 45, seed: 7, lossPercent: 2 })
-    fleet.time.advance(20_000)
+    fleet.time.run(20_000)
     fleet.kill(nodeId(3))
-    fleet.time.advance(15_000)
+    fleet.time.run(15_000)
     expect(statusesOf(fleet, nodeId(3))).toEqual(new Set(['dead']))
     for (const id of fleet.states.keys()) expect(statusesOf(fleet, id).has('dead')).toBe(false)
   })
 
   it('keeps a member that one other node cannot reach in one direction', () => {
     const fleet = makeFleet({ nodes: 12, seed: 11 })
-    fleet.time.advance(10_000)
+    fleet.time.run(10_000)
     fleet.cuts.add(`${nodeId(1)}>${nodeId(2)}`)
-    fleet.time.advance(120_000)
+    fleet.time.run(120_000)
     expect(statusesOf(fleet, nodeId(2))).toEqual(new Set(['alive']))
   })
 
   it('joins two sides again after a partition in which each held the other for dead', () => {
     const fleet = makeFleet({ nodes: 20, seed: 5 })
-    fleet.time.advance(10_000)
+    fleet.time.run(10_000)
     for (let left = 0; left < 10; left++) {
       for (let right = 10; right < 20; right++) {
         fleet.cuts.add(`${nodeId(left)}>${nodeId(right)}`).add(`${nodeId(right)}>${nodeId(left)}`)
       }
     }
-    fleet.time.advance(60_000)
+    fleet.time.run(60_000)
     expect(fleet.states.get(nodeId(0))!.membership.members.get(nodeId(15))!.status).toBe('dead')
     fleet.cuts.clear()
-    fleet.time.advance(60_000)
+    fleet.time.run(60_000)
     for (const id of fleet.states.keys()) expect(statusesOf(fleet, id)).toEqual(new Set(['alive']))
   })
 
--- a/packages/runtime/src/admin/describeStatus.ts
+++ b/packages/runtime/src/admin/describeStatus.ts
@@ -1,4 +1,4 @@
-import { describeLoad, type NodeState } from '@lavenderturn/decisions'
+import { describeLoad, freshSince, type NodeState } from '@lavenderturn/decisions'
 import type { TeamId } from '@lavenderturn/types'
 
 /** JSON of `/status`. @public */
@@ -17,7 +17,7 @@
     node: identity,
     phase: lifecycle.phase,
     revision: control.document?.revision ?? null,
-    freshAgeMs: state.now - control.freshAt,
+    freshAgeMs: state.now - freshSince(control),
     members: [...membership.members.values()].map(({ record, status }) => ({
       node: record.nodeId, status, dataCentre: record.dataCentre, region: record.region, endpoints: record.endpoints
     })),
