Carry freshness and crash marks on gossip, and publish changes of endpoints

Cause: the slices were written side by side; gossip carried members only. Change: gossip carries the freshness report and crash marks; ages count from the question; the admission's announcements reach the membership; a planned stop leaves the membership first.

--- a/packages/decisions/src/admission/announceServer.ts
+++ b/packages/decisions/src/admission/announceServer.ts
@@ -1,6 +1,7 @@
 import { watchServer } from '../health/watchServer'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
+import { raise } from '../raise'
 import type { ServerAnnounced, ServerWithdrawn } from './AdmissionEvent'
 import type { LocalServer } from './AdmissionState'
 import { confirmCrash } from './confirmCrash'
@@ -23,6 +24,7 @@
   if (known === undefined) return addServer(state, event)
   const changed = known.state !== event.state || known.bootId !== event.bootId
   const effects: NodeEffect[] = changed ? [logServer(event, `backend server ${event.state}`)] : []
+  if (changed || known.slots !== event.slots) effects.push(publishEndpoints())
   if (known.bootId !== event.bootId) effects.push(...confirmCrash(state, known))
   const cold = known.bootId !== event.bootId || known.state !== event.state || !known.reachable
   known.address = event.address
@@ -53,7 +55,7 @@
     broken: new Map()
   }
   state.admission.servers.set(event.endpoint, server)
-  return [logServer(event, 'backend server announced'), ...watchServer(state, server)]
+  return [logServer(event, 'backend server announced'), publishEndpoints(), ...watchServer(state, server)]
 }
 
 /**
@@ -69,7 +71,11 @@
   if (server === undefined) return []
   state.admission.servers.delete(endpoint)
   state.health.local.delete(endpoint)
-  return rejectQueue(state, server, 'draining')
+  return [publishEndpoints(), ...rejectQueue(state, server, 'draining')]
+}
+
+function publishEndpoints (): NodeEffect {
+  return raise({ slice: 'membership', type: 'localEndpointsChanged' })
 }
 
 function logServer ({ endpoint, slots, bootId }: ServerAnnounced, message: string): NodeEffect {
--- a/packages/decisions/src/lifecycle/reduceLifecycle.ts
+++ b/packages/decisions/src/lifecycle/reduceLifecycle.ts
@@ -54,13 +54,13 @@
 }
 
 /**
- * Starts what must be done before the ports close. Handing over ownership and leaving the membership go here: each
- * raises `holdPlaced` now and `holdReleased` when it has finished.
+ * Starts what must be done before the ports close. The members are told first, so that no gateway chooses a backend
+ * server of this node while it stops.
  *
  * @returns effects
  */
 function reduceDrainStarted (): NodeEffect[] {
-  return []
+  return [raise({ slice: 'membership', type: 'leaveStarted' })]
 }
 
 function finishWhenFree ({ lifecycle }: NodeState): NodeEffect[] {
--- a/packages/decisions/src/membership/Gossip.ts
+++ b/packages/decisions/src/membership/Gossip.ts
@@ -1,4 +1,6 @@
 import type { NodeId } from '@lavenderturn/types'
+import type { FreshnessReport } from '../control/ControlEvent'
+import type { DescribedMark } from '../quarantine/QuarantineEvent'
 import type { MemberRecord } from './MemberRecord'
 import type { MemberStatus } from './MembershipState'
 
@@ -17,4 +19,6 @@
   readonly protocolVersion: number
   readonly changes: readonly MemberChange[]
   readonly membersDigest: number
+  readonly freshness: FreshnessReport
+  readonly crashMarks: readonly DescribedMark[]
 }
--- a/packages/decisions/src/membership/MembershipEffect.ts
+++ b/packages/decisions/src/membership/MembershipEffect.ts
@@ -1,4 +1,4 @@
-import type { Address, CallId, NodeId } from '@lavenderturn/types'
+import type { Address, CallId, Millis, NodeId } from '@lavenderturn/types'
 import type { Gossip } from './Gossip'
 import type { MemberRecord } from './MemberRecord'
 
@@ -8,6 +8,8 @@
   readonly type: 'sendGossip'
   readonly address: Address
   readonly gossip: Gossip
+  /** Comes back with the answer, so that ages in it are counted from the question. */
+  readonly askedAt: Millis
   /** Asks for the whole member list. */
   readonly full: boolean
 }
@@ -19,6 +21,7 @@
   readonly probeId: number
   readonly address: Address
   readonly gossip: Gossip
+  readonly askedAt: Millis
 }
 
 /** Asks another member to probe the target. @public */
--- a/packages/decisions/src/membership/MembershipEvent.ts
+++ b/packages/decisions/src/membership/MembershipEvent.ts
@@ -1,4 +1,4 @@
-import type { Address, CallId } from '@lavenderturn/types'
+import type { Address, CallId, Millis } from '@lavenderturn/types'
 import type { EventBase } from '../NodeEvent'
 import type { Gossip } from './Gossip'
 import type { MemberRecord } from './MemberRecord'
@@ -54,6 +54,7 @@
   readonly slice: 'membership'
   readonly type: 'gossipAnswered'
   readonly gossip: Gossip
+  readonly askedAt: Millis
 }
 
 /** The target of a probe answered, directly or through another member. @public */
@@ -62,7 +63,7 @@
   readonly type: 'probeAnswered'
   readonly probeId: number
   /** Absent when another member answered for the target. */
-  readonly gossip?: Gossip
+  readonly answer?: { readonly gossip: Gossip, readonly askedAt: Millis }
 }
 
 /** The target of a probe has not answered within the probe's timeout. @public */
--- a/packages/decisions/src/membership/composeGossip.ts
+++ b/packages/decisions/src/membership/composeGossip.ts
@@ -1,4 +1,6 @@
+import { describeFreshness } from '../control/describeFreshness'
 import type { NodeState } from '../NodeState'
+import { describeCrashMarks } from '../quarantine/describeCrashMarks'
 import { type Gossip, type MemberChange, PROTOCOL_VERSION } from './Gossip'
 import { CHANGES_PER_MESSAGE } from './membershipTimings'
 
@@ -15,7 +17,9 @@
     from: state.identity.nodeId,
     protocolVersion: PROTOCOL_VERSION,
     changes: full ? listAllMembers(state) : takePendingChanges(state),
-    membersDigest: state.membership.digest
+    membersDigest: state.membership.digest,
+    freshness: describeFreshness(state),
+    crashMarks: describeCrashMarks(state)
   }
 }
 
--- a/packages/decisions/src/membership/exchangeGossip.ts
+++ b/packages/decisions/src/membership/exchangeGossip.ts
@@ -5,7 +5,7 @@
 import type { Gossip } from './Gossip'
 import type { Member } from './MembershipState'
 import { DEAD_RETENTION, FULL_EXCHANGE_INTERVAL, GOSSIP_INTERVAL, LEFT_RETENTION } from './membershipTimings'
-import { listPeers, listPollers, pickMembers } from './selectPeers'
+import { listPeers, pickMembers } from './selectPeers'
 import { forgetMember } from './updateMember'
 
 const GOSSIP_TIMER = toId<TimerId>('membership/gossip')
@@ -66,14 +66,14 @@
   address: Address,
   { full = false }: { readonly full?: boolean } = {}
 ): NodeEffect {
-  return { slice: 'membership', type: 'sendGossip', address, gossip: composeGossip(state), full }
+  return { slice: 'membership', type: 'sendGossip', address, gossip: composeGossip(state), askedAt: state.now, full }
 }
 
 function selectPartners (state: NodeState): Member[] {
   const peers = listPeers(state)
   const { dataCentre, nodeId } = state.identity
   const near = pickMembers(state, peers.filter(({ record }) => record.dataCentre === dataCentre), 1)
-  const isPoller = listPollers(state, dataCentre).some(({ record }) => record.nodeId === nodeId)
+  const isPoller = state.control.pollers.get(dataCentre)?.includes(nodeId) ?? false
   if (!isPoller && near.length > 0) return near
   return [...near, ...pickFarPoller(state, peers)]
 }
@@ -82,8 +82,9 @@
   const far = peers.filter(({ record }) => record.dataCentre !== state.identity.dataCentre)
   const [any] = pickMembers(state, far, 1)
   if (any === undefined) return []
-  const pollers = listPollers(state, any.record.dataCentre)
-  return pollers.length === 0 ? [any] : pickMembers(state, pollers, 1)
+  const pollers = state.control.pollers.get(any.record.dataCentre) ?? []
+  const live = peers.filter(({ record }) => pollers.includes(record.nodeId))
+  return live.length === 0 ? [any] : pickMembers(state, live, 1)
 }
 
 function askSeeds (state: NodeState): NodeEffect[] {
--- a/packages/decisions/src/membership/membership.test.ts
+++ b/packages/decisions/src/membership/membership.test.ts
@@ -78,12 +78,12 @@
     switch (effect.type) {
       case 'sendGossip':
         call(node, nodeAt(effect.address), effect.gossip, effect.full, (gossip) => {
-          dispatch(node, { slice: 'membership', type: 'gossipAnswered', gossip })
+          dispatch(node, { slice: 'membership', type: 'gossipAnswered', gossip, askedAt: effect.askedAt })
         })
         break
       case 'sendProbe':
         call(node, nodeAt(effect.address), effect.gossip, false, (gossip) => {
-          dispatch(node, { slice: 'membership', type: 'probeAnswered', probeId: effect.probeId, gossip })
+          dispatch(node, { slice: 'membership', type: 'probeAnswered', probeId: effect.probeId, answer: { gossip, askedAt: effect.askedAt } })
         })
         break
       case 'sendIndirectProbe': {
@@ -135,7 +135,6 @@
     bootId: toId('boot-1'),
     state
   })
-  fleet.dispatch(node, { slice: 'membership', type: 'localEndpointsChanged' })
 }
 
 function endpointStates ({ states }: Fleet): Set<string> {
--- a/packages/decisions/src/membership/probeMembers.ts
+++ b/packages/decisions/src/membership/probeMembers.ts
@@ -38,7 +38,8 @@
       type: 'sendProbe',
       probeId,
       address: target.record.controlAddress,
-      gossip: composeGossip(state)
+      gossip: composeGossip(state),
+      askedAt: state.now
     },
     setTimeoutTimer(probeId)
   )
--- a/packages/decisions/src/membership/reduceMembership.ts
+++ b/packages/decisions/src/membership/reduceMembership.ts
@@ -1,5 +1,7 @@
+import type { Millis } from '@lavenderturn/types'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
+import { raise } from '../raise'
 import { composeGossip } from './composeGossip'
 import { describeSelf } from './describeSelf'
 import { exchangeGossip, reconcileLists, sendGossip } from './exchangeGossip'
@@ -24,7 +26,7 @@
     case 'gossipDue': return exchangeGossip(state)
     case 'probeDue': return probeNext(state)
     case 'gossipAsked': return answerGossip(state, event)
-    case 'gossipAnswered': return hearGossip(state, event.gossip)
+    case 'gossipAnswered': return hearGossip(state, event.gossip, event.askedAt)
     case 'probeAnswered': return finishProbe(state, event)
     case 'probeTimedOut': return escalateProbe(state, event.probeId)
     case 'suspicionExpired': return updateMember(state, { record: event.record, status: 'dead' })
@@ -55,16 +57,24 @@
   return [...effects, { slice: 'membership', type: 'answerGossip', callId, gossip: composeGossip(state, { full }) }]
 }
 
-function finishProbe (state: NodeState, { probeId, gossip }: ProbeAnswered): NodeEffect[] {
+function finishProbe (state: NodeState, { probeId, answer }: ProbeAnswered): NodeEffect[] {
   const effects = endProbe(state, probeId)
-  return gossip === undefined ? effects : effects.concat(hearGossip(state, gossip))
+  return answer === undefined ? effects : effects.concat(hearGossip(state, answer.gossip, answer.askedAt))
 }
 
-function hearGossip (state: NodeState, gossip: Gossip): NodeEffect[] {
+/** Takes over a message; `askedAt` is absent for a message that came unasked. */
+function hearGossip (state: NodeState, gossip: Gossip, askedAt?: Millis): NodeEffect[] {
   if (!isCompatible(gossip)) return []
   const effects = gossip.changes.flatMap((change) => learnChange(state, change))
   retellVerdict(state, gossip)
-  return effects.concat(reconcileLists(state, gossip))
+  return [
+    ...effects,
+    ...reconcileLists(state, gossip),
+    raise({ slice: 'control', type: 'gossipHeard', from: gossip.from, askedAt, ...gossip.freshness }),
+    ...(gossip.crashMarks.length === 0
+      ? []
+      : [raise({ slice: 'quarantine', type: 'marksHeard', marks: gossip.crashMarks })])
+  ]
 }
 
 /** Tells a sender that is held for suspect or dead, so that it can refute. */
--- a/packages/decisions/src/membership/selectPeers.ts
+++ b/packages/decisions/src/membership/selectPeers.ts
@@ -1,12 +1,7 @@
-import type { DataCentreId } from '@lavenderturn/types'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import { hash } from '../hash'
 import type { NodeState } from '../NodeState'
 import type { Member } from './MembershipState'
 
-/** Members of each data centre that read the head row and carry gossip to other data centres. */
-export const POLLERS_PER_DATA_CENTRE = 3
-
 /**
  * Lists the members that are alive or only suspected, without this node.
  *
@@ -18,24 +13,6 @@
   return [...state.membership.members.values()].filter((member) => isPeer(state, member))
 }
 
-/**
- * Lists the pollers of a data centre: the live members with the lowest rank, which every node computes alike.
- *
- * @param state - the node's state
- * @param dataCentre - the data centre
- * @returns at most `POLLERS_PER_DATA_CENTRE` members; this node may be one
- * @public
- */
-export function listPollers (state: NodeState, dataCentre: DataCentreId): Member[] {
-  const live = [...state.membership.members.values()]
-    .filter(({ status, record }) => status === 'alive' && record.dataCentre === dataCentre)
-  return live
-    .map((member) => ({ member, rank: hash(`poller/${member.record.nodeId}`) }))
-    .sort((left, right) => left.rank - right.rank)
-    .slice(0, POLLERS_PER_DATA_CENTRE)
-    .map(({ member }) => member)
-}
-
 /**
  * Picks distinct members at random.
  *
--- a/packages/runtime/src/membership/MembershipHandler.ts
+++ b/packages/runtime/src/membership/MembershipHandler.ts
@@ -45,22 +45,22 @@
     return await this.client(address).probe({}, { timeoutMs: CALL_TIMEOUT_MS }).then(() => true, () => false)
   }
 
-  private async sendGossip ({ address, gossip, full }: SendGossip): Promise<void> {
+  private async sendGossip ({ address, gossip, askedAt, full }: SendGossip): Promise<void> {
     const answer = await this.client(address).exchange(
       { gossip: encodeGossip(gossip), full },
       { timeoutMs: CALL_TIMEOUT_MS }
     )
     if (answer.gossip === undefined) return
-    this.runtime.tell({ slice: 'membership', type: 'gossipAnswered', gossip: decodeGossip(answer.gossip) })
+    this.runtime.tell({ slice: 'membership', type: 'gossipAnswered', gossip: decodeGossip(answer.gossip), askedAt })
   }
 
-  private async sendProbe ({ probeId, address, gossip }: SendProbe): Promise<void> {
+  private async sendProbe ({ probeId, address, gossip, askedAt }: SendProbe): Promise<void> {
     const answer = await this.client(address).probe({ gossip: encodeGossip(gossip) }, { timeoutMs: CALL_TIMEOUT_MS })
     this.runtime.tell({
       slice: 'membership',
       type: 'probeAnswered',
       probeId,
-      gossip: answer.gossip === undefined ? undefined : decodeGossip(answer.gossip)
+      answer: answer.gossip === undefined ? undefined : { gossip: decodeGossip(answer.gossip), askedAt }
     })
   }
 
--- a/packages/runtime/src/membership/gossipCodec.ts
+++ b/packages/runtime/src/membership/gossipCodec.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
-import type { EndpointRecord, Gossip, MemberChange, MemberRecord, MemberStatus } from '@lavenderturn/decisions'
-import { toId } from '@lavenderturn/types'
+import type { EndpointRecord, FreshnessReport, Gossip, MemberChange, MemberRecord, MemberStatus } from '@lavenderturn/decisions'
+import { millis, toId } from '@lavenderturn/types'
 import {
   type Gossip as GossipMessage, GossipSchema, type MemberChange as MemberChangeMessage,
   type MemberRecord as MemberRecordMessage, MemberStatus as StatusMessage
@@ -26,7 +26,11 @@
       record: encodeRecord(record), status: STATUS_MESSAGES[status]
     })),
     // The wire format has unsigned integers only.
-    membersDigest: gossip.membersDigest >>> 0
+    membersDigest: gossip.membersDigest >>> 0,
+    ...encodeFreshness(gossip.freshness),
+    crashMarks: gossip.crashMarks.map(({ fingerprint, crashes, cleared, age }) => ({
+      fingerprint, crashes: [...crashes], cleared: [...cleared], ageMs: encodeAge(age)
+    }))
   })
 }
 
@@ -40,7 +44,49 @@
     from: toId(message.from),
     protocolVersion: message.protocolVersion,
     changes: message.changes.flatMap(decodeChange),
-    membersDigest: message.membersDigest | 0
+    membersDigest: message.membersDigest | 0,
+    freshness: decodeFreshness(message),
+    crashMarks: message.crashMarks.map(({ fingerprint, crashes, cleared, ageMs }) => ({
+      fingerprint: toId(fingerprint), crashes, cleared, age: millis(ageMs)
+    }))
+  }
+}
+
+/** Ages are rounded up: a report must not look newer than it is. */
+function encodeAge (age: number): number {
+  return Math.ceil(age)
+}
+
+function encodeFreshness ({ heartbeats, headReadAge, revision, assignmentChanges }: FreshnessReport) {
+  return {
+    heartbeats: heartbeats.map((heartbeat) => ({
+      dataCentre: heartbeat.dataCentre,
+      ageMs: encodeAge(heartbeat.ageMillis),
+      revision: BigInt(heartbeat.revision),
+      members: heartbeat.members
+    })),
+    headReadAgeMs: headReadAge === undefined ? undefined : encodeAge(headReadAge),
+    revision: BigInt(revision),
+    assignmentChanges: assignmentChanges.map(({ partition, domain, epoch, sequence, owner }) => ({
+      partition, domain, epoch: BigInt(epoch), sequence: BigInt(sequence), owner
+    }))
+  }
+}
+
+function decodeFreshness (message: GossipMessage): FreshnessReport {
+  return {
+    heartbeats: message.heartbeats.map(({ dataCentre, ageMs, revision, members }) => ({
+      dataCentre: toId(dataCentre), ageMillis: ageMs, revision: toId(Number(revision)), members
+    })),
+    headReadAge: message.headReadAgeMs,
+    revision: toId(Number(message.revision)),
+    assignmentChanges: message.assignmentChanges.map(({ partition, domain, epoch, sequence, owner }) => ({
+      partition: toId(partition),
+      domain: toId(domain),
+      epoch: Number(epoch),
+      sequence: Number(sequence),
+      owner: toId(owner)
+    }))
   }
 }
 
