--- /dev/null
+++ b/apps/node/src/main.ts
@@ -0,0 +1,6 @@
+import { nodeSettings, runProgram } from '@lavenderturn/runtime'
+import { startNode } from './startNode'
+
+void runProgram({
+  program: 'lavenderturn-node', description: 'Proxy beside the backend servers of an instance', table: nodeSettings
+}, startNode)
--- /dev/null
+++ b/apps/node/src/startNode.ts
@@ -0,0 +1,37 @@
+import { createLog, createNode, endpointPolicies, type NodeSettings } from '@lavenderturn/runtime'
+import { randomInt } from 'node:crypto'
+import { createIdentity } from './createIdentity'
+import { openPort } from './openPort'
+
+const LARGEST_SEED = 2 ** 31 - 1
+
+/**
+ * Starts a node, and stops it on SIGTERM or SIGINT.
+ *
+ * @param settings - checked settings
+ * @returns when all ports are open
+ * @throws SettingError when a port cannot be opened
+ * @internal
+ */
+export async function startNode (settings: NodeSettings): Promise<void> {
+  const identity = createIdentity(settings)
+  const log = createLog({
+    format: settings.logFormat, level: settings.logLevel, fields: { node: identity.nodeId }
+  })
+  const node = createNode({
+    identity,
+    log,
+    seed: settings.seed ?? randomInt(LARGEST_SEED),
+    policies: { endpoint: endpointPolicies[settings.endpointPolicy]() },
+    exit: (code) => { void node.runtime.stop().finally(() => { process.exit(code) }) }
+  })
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () => {
+      node.runtime.tell({ slice: 'lifecycle', type: 'drainRequested', grace: settings.drainGrace })
+    })
+  }
+  const callerAddress = await openPort(node.callerServer, 'callerAddress', settings)
+  await openPort(node.forwardServer, 'forwardAddress', settings)
+  const adminAddress = await openPort(node.adminServer, 'adminAddress', settings)
+  log.info('node started', { callerAddress, forwardAddress: settings.forwardAddress, adminAddress })
+}
--- /dev/null
+++ b/packages/runtime/src/settings/checkArguments.ts
@@ -0,0 +1,31 @@
+import { SettingError } from './SettingError'
+import type { SettingsTable } from './SettingEntry'
+
+/** Arguments that every program takes. */
+const COMMON = new Set(['--help', '-h', '--version', '-v'])
+
+/**
+ * Finds the first argument that is not a setting with a value. The command line library would take a flag without a
+ * value as not given, and reports several errors over several lines.
+ *
+ * @param table - settings of the program
+ * @param argv - its arguments
+ * @throws SettingError naming the argument
+ * @internal
+ */
+export function checkArguments (table: SettingsTable, argv: readonly string[]): void {
+  const entries = new Map(Object.values(table).map((entry) => [`--${entry.flag}`, entry]))
+  const seen = new Set<string>()
+  for (let index = 0; index < argv.length; index++) {
+    const argument = argv[index]!
+    if (COMMON.has(argument)) continue
+    const name = argument.split('=', 1)[0]!
+    const entry = entries.get(name)
+    if (entry === undefined) throw new SettingError(name, 'there is no such setting')
+    if (seen.has(name)) throw new SettingError(name, 'it is given twice')
+    seen.add(name)
+    if (entry.isSwitch === true || argument.includes('=')) continue
+    const value = argv[++index]
+    if (value === undefined || value.startsWith('--')) throw new SettingError(name, 'it needs a value')
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/settings/nodeSettings.ts
@@ -0,0 +1,116 @@
+import { type DataCentreId, type NodeId, type RegionId, toId } from '@lavenderturn/types'
+import { endpointPolicies } from './endpointPolicies'
+import {
+  addressList, httpUrl, listenAddress, loopbackAddress, oneOf, plainId, seed, sharedAddress, wholeMillis
+} from './schemas'
+import { defineSettings, type SettingValues } from './SettingEntry'
+
+/** Settings of `lavenderturn-node`. `docs/configuration.md` lists the same table, and a test compares the two. */
+export const nodeSettings = defineSettings({
+  nodeId: {
+    flag: 'node-id',
+    env: 'LAVENDERTURN_NODE_ID',
+    description: 'Id of this process; must not be used again after a restart. Made from host name and process by default',
+    optional: true,
+    schema: plainId.transform((text) => toId<NodeId>(text))
+  },
+  dataCentre: {
+    flag: 'data-centre',
+    env: 'LAVENDERTURN_DATA_CENTRE',
+    description: 'Data centre that the instance is in',
+    schema: plainId.transform((text) => toId<DataCentreId>(text))
+  },
+  region: {
+    flag: 'region',
+    env: 'LAVENDERTURN_REGION',
+    description: 'Region that the data centre is in',
+    schema: plainId.transform((text) => toId<RegionId>(text))
+  },
+  callerAddress: {
+    flag: 'caller-address',
+    env: 'LAVENDERTURN_CALLER_ADDRESS',
+    description: 'Where callers connect',
+    default: '0.0.0.0:8080',
+    schema: listenAddress
+  },
+  forwardAddress: {
+    flag: 'forward-address',
+    env: 'LAVENDERTURN_FORWARD_ADDRESS',
+    description: 'Where gateways of other nodes connect; told to other nodes',
+    default: '127.0.0.1:8081',
+    schema: sharedAddress
+  },
+  controlAddress: {
+    flag: 'control-address',
+    env: 'LAVENDERTURN_CONTROL_ADDRESS',
+    description: 'Where other nodes send control messages; told to other nodes',
+    default: '127.0.0.1:8082',
+    schema: sharedAddress
+  },
+  adminAddress: {
+    flag: 'admin-address',
+    env: 'LAVENDERTURN_ADMIN_ADDRESS',
+    description: 'Announcements, health, metrics and time line; loopback only',
+    default: '127.0.0.1:8083',
+    schema: loopbackAddress
+  },
+  peers: {
+    flag: 'peers',
+    env: 'LAVENDERTURN_PEERS',
+    description: 'Control addresses of other nodes, separated by commas',
+    default: '',
+    schema: addressList
+  },
+  tableStore: {
+    flag: 'table-store',
+    env: 'LAVENDERTURN_TABLE_STORE',
+    description: 'URL of the table service; without one the node learns everything from its peers',
+    optional: true,
+    schema: httpUrl
+  },
+  objectStore: {
+    flag: 'object-store',
+    env: 'LAVENDERTURN_OBJECT_STORE',
+    description: 'URL of the object store, with the bucket as path',
+    optional: true,
+    schema: httpUrl
+  },
+  endpointPolicy: {
+    flag: 'endpoint-policy',
+    env: 'LAVENDERTURN_ENDPOINT_POLICY',
+    description: `How the gateway picks an endpoint: ${Object.keys(endpointPolicies).join(', ')}`,
+    default: 'random',
+    schema: oneOf(Object.keys(endpointPolicies) as Array<keyof typeof endpointPolicies>)
+  },
+  drainGrace: {
+    flag: 'drain-grace',
+    env: 'LAVENDERTURN_DRAIN_GRACE',
+    description: 'Milliseconds that ports stay open at least in a planned stop; idle callers close within 5,000',
+    default: '6000',
+    schema: wholeMillis
+  },
+  logFormat: {
+    flag: 'log-format',
+    env: 'LAVENDERTURN_LOG_FORMAT',
+    description: 'Format of log lines: text, json',
+    default: 'text',
+    schema: oneOf(['text', 'json'])
+  },
+  logLevel: {
+    flag: 'log-level',
+    env: 'LAVENDERTURN_LOG_LEVEL',
+    description: 'Least severe lines to write: error, warn, info, debug',
+    default: 'info',
+    schema: oneOf(['error', 'warn', 'info', 'debug'])
+  },
+  seed: {
+    flag: 'seed',
+    env: 'LAVENDERTURN_SEED',
+    description: 'Seed of the random generator; by default drawn at the start',
+    optional: true,
+    schema: seed
+  }
+})
+
+/** @public */
+export type NodeSettings = SettingValues<typeof nodeSettings>
--- /dev/null
+++ b/packages/runtime/src/settings/renderSettings.ts
@@ -0,0 +1,18 @@
+import type { SettingsTable } from './SettingEntry'
+
+/**
+ * Writes a settings table as it stands in `docs/configuration.md`.
+ *
+ * @param table - settings of a program
+ * @returns a Markdown table
+ * @public
+ */
+export function renderSettings (table: SettingsTable): string {
+  const rows = Object.values(table).map((entry) => {
+    const fallback = entry.default === undefined
+      ? entry.optional === true ? 'none' : 'required'
+      : entry.default === '' ? 'empty' : `\`${entry.default}\``
+    return `| \`--${entry.flag}\` | \`${entry.env}\` | ${fallback} | ${entry.description} |`
+  })
+  return ['| flag | environment variable | default | meaning |', '|---|---|---|---|', ...rows].join('\n')
+}
--- /dev/null
+++ b/packages/runtime/src/settings/schemas.ts
@@ -0,0 +1,60 @@
+import { type Address, type Millis, toId } from '@lavenderturn/types'
+import { z } from 'zod'
+
+const ADDRESS = /^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9._-]+):(\d{1,5})$/
+const HIGHEST_PORT = 65_535
+const LOOPBACK = /^(127\.\d+\.\d+\.\d+|localhost|\[::1\]):/
+
+function isAddress (text: string): boolean {
+  const match = ADDRESS.exec(text)
+  return match !== null && Number(match[2]) <= HIGHEST_PORT
+}
+
+/** `host:port`; port 0 takes any free port. */
+export const listenAddress = z.string()
+  .refine(isAddress, 'expected host:port').transform((text) => toId<Address>(text))
+
+/** `host:port` that other nodes connect to, so that the port must be known. */
+export const sharedAddress = z.string()
+  .refine((text) => isAddress(text) && !text.endsWith(':0'), 'expected host:port with a port other than 0')
+  .transform((text) => toId<Address>(text))
+
+/** `host:port` of a loopback interface: the port has no authentication. */
+export const loopbackAddress = z.string()
+  .refine((text) => isAddress(text) && LOOPBACK.test(text), 'expected host:port with a loopback host')
+  .transform((text) => toId<Address>(text))
+
+/** Addresses, separated by commas. */
+export const addressList = z.string()
+  .transform((text) => text.split(',').map((part) => part.trim()).filter((part) => part !== ''))
+  .refine((parts) => parts.every(isAddress), 'expected host:port, separated by commas')
+  .transform((parts) => parts.map((part) => toId<Address>(part)))
+
+/** An id in plain characters, which go into headers, metrics and file names as they are. */
+export const plainId = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected up to 64 letters, digits, . _ -')
+
+/** Milliseconds as a whole number. */
+export const wholeMillis = z.string().regex(/^\d{1,9}$/, 'expected a whole number of milliseconds')
+  .transform((text) => Number(text) as Millis)
+
+/** A seed of a random generator. */
+export const seed = z.string().regex(/^\d{1,9}$/, 'expected a whole number').transform(Number)
+
+/** An HTTP URL. */
+export const httpUrl = z.string().refine((text) => {
+  return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol)
+}, 'expected an http or https URL')
+
+/** `true` or `false`. */
+export const switchText = z.string().refine((text) => text === 'true' || text === 'false', 'expected true or false')
+  .transform((text) => text === 'true')
+
+/**
+ * @param choices - allowed values
+ * @returns a schema for one of them
+ */
+export function oneOf<const Choice extends string> (choices: readonly Choice[]) {
+  return z.string()
+    .refine((text) => (choices as readonly string[]).includes(text), `expected one of ${choices.join(', ')}`)
+    .transform((text) => text as Choice)
+}
