--- /dev/null
+++ b/packages/declaration/bench/measureTables.ts
@@ -0,0 +1,204 @@
+/**
+ * Measures memory and time of the control document at several sizes, each in a process of its own, and fits a line
+ * through them. Run: `npx tsx --expose-gc packages/declaration/bench/measureTables.ts`
+ */
+import {
+  applyDelta, type ControlDocument, createDocument, decodeDeclaration, type DeclarationDelta, diffDeclarations,
+  emptyDeclaration, encodeDeclaration, encodeDelta
+} from '@lavenderturn/declaration'
+import {
+  makeDeclaredHash, makeKeyHash, makeLargeDeclaration, makeRouteDeclaration, makeTeam
+} from '@lavenderturn/fixtures'
+import { type Revision, toId } from '@lavenderturn/types'
+import { spawnSync } from 'node:child_process'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const TEAM_SIZES = [1_000, 30_000, 75_000, 120_000, 170_000, 220_000]
+const ROUTE_SIZES = [100, 2_000, 6_000, 12_000, 18_000]
+const FEW_TEAMS = 1_000
+const FEW_ROUTES = 100
+const LOOKUPS = 200_000
+const BATCHES = 15
+const DELTAS = 1_000
+const NS_PER_MS = 1e6
+const BYTES_PER_MB = 1e6
+
+interface Sample {
+  readonly teams: number
+  readonly routes: number
+  readonly encodedMb: number
+  readonly decodeMs: number
+  readonly createMs: number
+  /** Held by the document after collection of garbage: heap and typed arrays. */
+  readonly heldMb: number
+  readonly rssMb: number
+  readonly peakRssMb: number
+  readonly keyNs: number
+  readonly teamNs: number
+  readonly routeNs: number
+  readonly keyDeltaMs: Spread
+  readonly teamDeltaMs: Spread
+  readonly routeDeltaMs: Spread
+}
+
+interface Spread { readonly median: number, readonly p99: number, readonly max: number }
+
+function measure (path: string, { teams, routes }: { readonly teams: number, readonly routes: number }): Sample {
+  const before = heldBytes()
+  const loaded = load(path)
+  const held = heldBytes() - before
+  const rss = process.memoryUsage().rss
+  const peak = process.resourceUsage().maxRSS * 1_024
+  const document = loaded.document
+  const hashes = Array.from({ length: 4_096 }, (_, at) => makeKeyHash(`key-${(at * 7_919) % teams}`))
+  const ids = Array.from({ length: 4_096 }, (_, at) => toId<never>(`team-${(at * 7_919) % teams}`))
+  const paths = Array.from({ length: 4_096 }, (_, at) => {
+    const route = (at * 7_919) % routes
+    return `/service-${route % 640}/collection-${route % 4_000}/item-${route}/detail`
+  })
+  return {
+    teams,
+    routes,
+    ...loaded.times,
+    heldMb: held / BYTES_PER_MB,
+    rssMb: rss / BYTES_PER_MB,
+    peakRssMb: peak / BYTES_PER_MB,
+    keyNs: timeLookup((at) => document.findTeamByKey(hashes[at & 4_095]!)),
+    teamNs: timeLookup((at) => document.findTeam(ids[at & 4_095]!)),
+    routeNs: timeLookup((at) => document.findRoute('GET', paths[at & 4_095]!)),
+    ...measureDeltas(document)
+  }
+}
+
+interface Loaded {
+  readonly document: ControlDocument
+  readonly times: Pick<Sample, 'encodedMb' | 'decodeMs' | 'createMs'>
+}
+
+function load (path: string): Loaded {
+  const bytes = readFileSync(path)
+  const start = performance.now()
+  const declaration = decodeDeclaration(bytes)
+  const decoded = performance.now()
+  const document = createDocument({ declaration, revision: toId<Revision>(1) })
+  const created = performance.now()
+  const times = { encodedMb: bytes.length / BYTES_PER_MB, decodeMs: decoded - start, createMs: created - decoded }
+  return { document, times }
+}
+
+function heldBytes (): number {
+  for (let round = 0; round < 3; round++) global.gc!()
+  const { heapUsed, arrayBuffers } = process.memoryUsage()
+  return heapUsed + arrayBuffers
+}
+
+function timeLookup (lookUp: (at: number) => unknown): number {
+  const times = Array.from({ length: BATCHES }, () => {
+    const start = performance.now()
+    for (let at = 0; at < LOOKUPS; at++) {
+      if (lookUp(at) === undefined) throw new Error('a lookup found nothing')
+    }
+    return (performance.now() - start) * NS_PER_MS / LOOKUPS
+  })
+  return spreadOf(times).median
+}
+
+function measureDeltas (start: ControlDocument): Pick<Sample, 'keyDeltaMs' | 'teamDeltaMs' | 'routeDeltaMs'> {
+  let document = start
+  const none = diffDeclarations(emptyDeclaration(), emptyDeclaration())
+  const time = (makeDelta: (at: number) => DeclarationDelta): Spread => spreadOf(Array.from(Array(DELTAS), (_, at) => {
+    const delta = makeDelta(at)
+    const before = performance.now()
+    document = applyDelta(document, { delta, revision: toId(document.revision + 1) })
+    return performance.now() - before
+  }))
+  return {
+    keyDeltaMs: time((at) => {
+      const keys = [{ hash: makeDeclaredHash(`new-${at}`), team: toId<never>(`team-${at % 1_000}`) }]
+      return { ...none, changed: { ...none.changed, keys } }
+    }),
+    teamDeltaMs: time((at) => ({
+      ...none, changed: { ...none.changed, teams: [makeTeam({ id: toId(`new-${at >> 1}`), burst: at + 1 })] }
+    })),
+    routeDeltaMs: time((at) => {
+      const routes = [makeRouteDeclaration({
+        id: toId(`route-${at % 100}`), service: toId('service-0'), pathPrefix: `/moved/${at}`
+      })]
+      return { ...none, changed: { ...none.changed, routes } }
+    })
+  }
+}
+
+function spreadOf (values: readonly number[]): Spread {
+  const sorted = values.toSorted((left, right) => left - right)
+  const at = (share: number): number => sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!
+  return { median: at(0.5), p99: at(0.99), max: at(1) }
+}
+
+/** Least squares, with the root mean square and the largest of the residuals in the unit of `y`. */
+function fitLine (points: ReadonlyArray<readonly [number, number]>): string {
+  const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  const [x, y] = [mean(points.map(([px]) => px)), mean(points.map(([, py]) => py))]
+  const slope = mean(points.map(([px, py]) => (px - x) * (py - y))) / mean(points.map(([px]) => (px - x) ** 2))
+  const residuals = points.map(([px, py]) => py - y - slope * (px - x))
+  const rms = Math.sqrt(mean(residuals.map((value) => value ** 2)))
+  const largest = Math.max(...residuals.map(Math.abs))
+  return `${(y - slope * x).toFixed(3)} + ${(slope * 1_000).toFixed(5)} per 1,000; ` +
+    `residuals: rms ${rms.toFixed(3)}, largest ${largest.toFixed(3)}`
+}
+
+function runChild (folder: string, sizes: { readonly teams: number, readonly routes: number }): Sample {
+  const path = join(folder, 'declaration')
+  writeFileSync(path, encodeDeclaration(makeLargeDeclaration(sizes)))
+  const args = [...process.execArgv, fileURLToPath(import.meta.url), path, String(sizes.teams), String(sizes.routes)]
+  const child = spawnSync(process.execPath, args, { encoding: 'utf8', stdio: ['ignore', 'pipe', 'inherit'] })
+  if (child.status !== 0) throw new Error(`the measurement of ${JSON.stringify(sizes)} ended with ${child.status}`)
+  return JSON.parse(child.stdout) as Sample
+}
+
+function print (line: string): void {
+  process.stdout.write(`${line}\n`)
+}
+
+function printSample (sample: Sample): void {
+  const spread = ({ median, p99, max }: Spread): string => `${median.toFixed(4)}/${p99.toFixed(4)}/${max.toFixed(3)}`
+  print([
+    `${sample.teams} teams, ${sample.routes} routes: held ${sample.heldMb.toFixed(2)} MB`,
+    `RSS ${sample.rssMb.toFixed(0)} MB (peak ${sample.peakRssMb.toFixed(0)})`,
+    `encoded ${sample.encodedMb.toFixed(2)} MB, decode ${sample.decodeMs.toFixed(0)} ms, create ${sample.createMs.toFixed(0)} ms`,
+    `lookup ns: key ${sample.keyNs.toFixed(0)}, team ${sample.teamNs.toFixed(0)}, route ${sample.routeNs.toFixed(0)}`,
+    `delta ms median/p99/max: key ${spread(sample.keyDeltaMs)}, team ${spread(sample.teamDeltaMs)}, route ${spread(sample.routeDeltaMs)}`
+  ].join('; '))
+}
+
+function printFits (
+  unit: 'teams' | 'routes', samples: readonly Sample[], fields: ReadonlyArray<'heldMb' | 'keyNs' | 'teamNs' | 'routeNs'>
+): void {
+  for (const field of fields) {
+    print(`fit of ${field} over ${unit}: ${fitLine(samples.map((sample) => [sample[unit], sample[field]]))}`)
+  }
+}
+
+function main (): void {
+  const folder = mkdtempSync(join(tmpdir(), 'lavenderturn-tables-'))
+  try {
+    const byTeams = TEAM_SIZES.map((teams) => runChild(folder, { teams, routes: FEW_ROUTES }))
+    byTeams.forEach(printSample)
+    printFits('teams', byTeams, ['heldMb', 'keyNs', 'teamNs'])
+    const byRoutes = ROUTE_SIZES.map((routes) => runChild(folder, { teams: FEW_TEAMS, routes }))
+    byRoutes.forEach(printSample)
+    printFits('routes', byRoutes, ['heldMb', 'routeNs'])
+    printSample(runChild(folder, { teams: TEAM_SIZES.at(-1)!, routes: ROUTE_SIZES.at(-1)! }))
+    const oneKey = { ...emptyDeclaration(), keys: [{ hash: makeDeclaredHash('k'), team: toId<never>('team-1') }] }
+    print(`delta of one key: ${encodeDelta(diffDeclarations(emptyDeclaration(), oneKey)).length} bytes`)
+  } finally {
+    rmSync(folder, { recursive: true })
+  }
+}
+
+const [path, teams, routes] = process.argv.slice(2)
+if (path === undefined) main()
+else print(JSON.stringify(measure(path, { teams: Number(teams), routes: Number(routes) })))
--- /dev/null
+++ b/packages/declaration/bench/writeSchema.ts
@@ -0,0 +1,6 @@
+/** Writes `schema/declaration.schema.json`. Run by tsx after a change of the declaration schema. */
+import { declarationJsonSchema } from '@lavenderturn/declaration'
+import { writeFileSync } from 'node:fs'
+
+const path = new URL('../../../schema/declaration.schema.json', import.meta.url)
+writeFileSync(path, `${JSON.stringify(declarationJsonSchema(), null, 2)}\n`)
--- a/packages/declaration/src/checkDelta.ts
+++ b/packages/declaration/src/checkDelta.ts
@@ -1,4 +1,4 @@
-import { type TeamId } from '@lavenderturn/types'
+import type { ServiceId, TeamId } from '@lavenderturn/types'
 import { type DocumentTables, requireCompiled } from './CompiledDocument'
 import type { ControlDocument } from './ControlDocument'
 import type { DeclarationDelta } from './DeclarationDelta'
@@ -6,7 +6,7 @@
 
 /**
  * Checks that a document is still consistent after a delta, at the cost of the delta: all routes are read only when
- * the delta changes routes or removes teams or services.
+ * the delta removes teams or services.
  *
  * @param document - a document from `createDocument` or `applyDelta`
  * @param delta - a delta whose entries are valid each for itself
@@ -49,24 +49,35 @@
   return (team) => added.has(team) || (!gone.has(team) && tables.teams.findRow(team) !== undefined)
 }
 
-function * checkRoutes (tables: DocumentTables, { changed, removed }: DeclarationDelta): Generator<string> {
-  if (changed.routes.length + removed.teams.length + removed.services.length === 0) return
-  const isTeam = createTeamTest(tables, { changed, removed })
-  const services = new Set([...tables.services.keys(), ...changed.services.map(({ id }) => id)])
-  for (const service of removed.services) services.delete(service)
+function * checkRoutes (tables: DocumentTables, delta: DeclarationDelta): Generator<string> {
+  const { changed, removed } = delta
+  const isTeam = createTeamTest(tables, delta)
   const replaced = new Set([...removed.routes, ...changed.routes.map(({ id }) => id)])
-  const kept = [...tables.routes.values()].filter(({ id }) => !replaced.has(id)).map(toRouteDeclaration)
-  const matches = new Set<string>()
-  for (const { id, service, access, method, pathPrefix } of [...kept, ...changed.routes]) {
-    if (!services.has(service)) yield `the route "${id}" belongs to the service "${service}", which does not exist`
+  const losesReferences = removed.teams.length + removed.services.length > 0
+  const kept = losesReferences ? [...tables.routes.values()].filter(({ id }) => !replaced.has(id)) : []
+  const isService = createServiceTest(tables, delta)
+  for (const { id, service, access } of [...kept.map(toRouteDeclaration), ...changed.routes]) {
+    if (!isService(service)) yield `the route "${id}" belongs to the service "${service}", which does not exist`
     const unknown = typeof access === 'string' ? undefined : access.find((team) => !isTeam(team))
     if (unknown !== undefined) yield `the route "${id}" lists the team "${unknown}", which does not exist`
+  }
+  const matches = new Set<string>()
+  for (const { id, method, pathPrefix } of changed.routes) {
     const match = `${method ?? ''} ${pathPrefix}`
-    if (matches.has(match)) yield `the route "${id}" matches the same requests as another route`
+    const identical = tables.routes.findIdentical({ method, pathPrefix })
+    if (matches.has(match) || (identical !== undefined && !replaced.has(identical.id))) {
+      yield `the route "${id}" matches the same requests as another route`
+    }
     matches.add(match)
   }
 }
 
+function createServiceTest (tables: DocumentTables, delta: DeclarationDelta): (service: ServiceId) => boolean {
+  const added = new Set(delta.changed.services.map(({ id }) => id))
+  const gone = new Set(delta.removed.services)
+  return (service) => added.has(service) || (!gone.has(service) && tables.services.has(service))
+}
+
 function * checkDataCentres (tables: DocumentTables, { changed, removed }: DeclarationDelta): Generator<string> {
   const left = new Set([...tables.dataCentres.keys(), ...changed.dataCentres.map(({ id }) => id)])
   for (const dataCentre of removed.dataCentres) left.delete(dataCentre)
--- a/packages/declaration/src/tables/KeyTable.ts
+++ b/packages/declaration/src/tables/KeyTable.ts
@@ -6,7 +6,13 @@
 
 const HEX_DIGITS_PER_WORD = 8
 
-const HEX_DIGITS = '0123456789abcdef'
+const NO_DIGIT = 255
+
+/** Values of hex digits by character code. */
+const DIGIT_VALUES = Uint8Array.from({ length: 128 }, (_, code) => {
+  const value = '0123456789abcdef'.indexOf(String.fromCharCode(code))
+  return value < 0 ? NO_DIGIT : value
+})
 
 const HASH_PREFIX = 'sha256:'
 
@@ -86,10 +92,9 @@
     for (let word = 0; word < WORDS; word++) {
       let value = 0
       for (let at = word * HEX_DIGITS_PER_WORD; at < (word + 1) * HEX_DIGITS_PER_WORD; at++) {
-        const digit = HEX_DIGITS.indexOf(hex.charAt(at))
-        // `charAt` past the end is the empty text, which `indexOf` finds at 0.
-        if (digit < 0 || at >= hex.length) return false
-        value = value * HEX_DIGITS.length + digit
+        const digit = DIGIT_VALUES[hex.charCodeAt(at)] ?? NO_DIGIT
+        if (digit === NO_DIGIT) return false
+        value = (value << 4) | digit
       }
       this.probe[word] = value
     }
--- a/packages/declaration/src/tables/RouteTable.ts
+++ b/packages/declaration/src/tables/RouteTable.ts
@@ -39,11 +39,13 @@
   }
 
   /**
-   * @param id - a route
-   * @returns the route, or undefined
+   * @param match - method and normalised prefix
+   * @returns the route with exactly these, or undefined
    */
-  get (id: RouteId): RouteEntry | undefined {
-    return this.byId.get(id)
+  findIdentical ({ method, pathPrefix }: Pick<RouteEntry, 'method' | 'pathPrefix'>): RouteEntry | undefined {
+    let node: TrieNode | undefined = this.root
+    for (const segment of listSegments(pathPrefix)) node = node?.children?.get(segment)
+    return node?.routes?.find((route) => route.method === method)
   }
 
   /** @param route - a new route, or new values of one */
