--- /dev/null
+++ b/apps/ctl/src/apply/ApplyEvent.ts
@@ -0,0 +1,22 @@
+import type { Millis } from '@lavenderturn/types'
+import type { ApplyAnswer, CurrentDeclaration, FleetStatus, TokenAnswer } from '../client/ControlClient'
+
+interface EventBase {
+  /** Monotonic time. */
+  readonly at: Millis
+}
+
+/** What happens during one `apply`. @public */
+export type ApplyEvent = EventBase & (
+  | { readonly type: 'started' }
+  | { readonly type: 'currentRead', readonly current: CurrentDeclaration }
+  | { readonly type: 'applyAnswered', readonly answer: ApplyAnswer }
+  | { readonly type: 'tokenAnswered', readonly answer: TokenAnswer }
+  | { readonly type: 'statusRead', readonly status: FleetStatus }
+  /** A call ended without an answer; `sent` tells whether the node can have received it. */
+  | { readonly type: 'callFailed', readonly call: ApplyCall, readonly sent: boolean, readonly detail: string }
+  | { readonly type: 'waited' }
+)
+
+/** @public */
+export type ApplyCall = 'readCurrent' | 'sendApply' | 'findToken' | 'readStatus'
--- /dev/null
+++ b/apps/ctl/src/client/answerSchemas.ts
@@ -0,0 +1,49 @@
+import { resultCodes, type ResultName } from '@lavenderturn/types'
+import { z } from 'zod'
+
+const revision = z.int().min(0)
+
+/** Answer to `GET /declaration`; the declaration itself is checked by `parseDeclaration`. @internal */
+export const currentSchema = z.object({ revision, declaration: z.record(z.string(), z.unknown()) })
+
+/** Answer to `POST /apply`. @internal */
+export const acceptedSchema = z.object({ kind: z.literal('accepted'), revision })
+
+/** Answer to `GET /apply`. @internal */
+export const tokenSchema = z.union([
+  z.object({ kind: z.enum(['accepted', 'absent']), revision }),
+  z.object({ kind: z.literal('unknown'), detail: z.string().optional() })
+])
+
+const problemFields = z.object({ code: z.int(), detail: z.string().optional() })
+
+/** Problem details (RFC 9457) with one of the control result codes, as the name of the result. @internal */
+export const problemSchema = problemFields.transform((problem, ctx) => {
+  const { code, detail } = problem
+  const found = Object.entries(resultCodes).find(([, entry]) => entry.code === code)
+  if (found !== undefined) return { result: found[0] as ResultName, detail }
+  ctx.addIssue('the result code is unknown')
+  return z.NEVER
+})
+
+/** Answer to `GET /status`; fields that are not known here are left out. @internal */
+export const statusSchema = z.object({
+  node: z.string(),
+  revision,
+  members: z.array(z.object({
+    node: z.string(),
+    dataCentre: z.string(),
+    region: z.string(),
+    state: z.enum(['alive', 'suspect', 'dead', 'left']),
+    revision: revision.optional()
+  })),
+  endpoints: z.array(z.object({
+    id: z.string(),
+    service: z.string(),
+    node: z.string(),
+    state: z.string(),
+    verdict: z.string(),
+    reason: z.string().optional()
+  })),
+  teams: z.array(z.object({ id: z.string(), ratePerSecond: z.number(), usedPerSecond: z.number() }))
+})
--- /dev/null
+++ b/apps/ctl/src/commands/describeProblems.ts
@@ -0,0 +1,28 @@
+import { type DeclarationProblem, formatProblem } from '@lavenderturn/declaration'
+import { resultCodes } from '@lavenderturn/types'
+import { exitCodes } from '../exitCodes'
+import type { Output } from '../Output'
+
+/**
+ * @param problems - faults of a declaration
+ * @returns the output of any command that met them
+ * @internal
+ */
+export function describeProblems (problems: readonly DeclarationProblem[]): Output {
+  const { code, title } = resultCodes.invalidDeclaration
+  return {
+    lines: [...problems.map(formatProblem), `${code} ${title}: ${countOf(problems.length, 'problem')}`],
+    value: { valid: false, code, problems },
+    exitCode: exitCodes.failed
+  }
+}
+
+/**
+ * @param count - how many
+ * @param noun - singular of the noun
+ * @returns for example `2 routes`
+ * @internal
+ */
+export function countOf (count: number, noun: string): string {
+  return `${count} ${noun}${count === 1 ? '' : 's'}`
+}
--- /dev/null
+++ b/apps/ctl/src/createCommands.ts
@@ -0,0 +1,150 @@
+import { millis, toId } from '@lavenderturn/types'
+import { command, restPositionals, subcommands, string } from 'cmd-ts'
+import type { ControlClient } from './client/ControlClient'
+import { apply } from './commands/apply'
+import { diff } from './commands/diff'
+import { get } from './commands/get'
+import { createKey, hashInput } from './commands/key'
+import { status } from './commands/status'
+import { validate } from './commands/validate'
+import { createOption, createSwitch, jsonSwitch } from './createFlags'
+import { type Output } from './Output'
+import type { Outside } from './Outside'
+import { BadSettingError } from './BadSettingError'
+import { nameSetting, settings } from './settings'
+
+/** @internal */
+export interface CommandResult {
+  readonly output: Output
+  readonly json: boolean
+}
+
+const files = restPositionals({ type: string, displayName: 'FILES', description: 'Files or folders of one declaration' })
+
+const nodeOptions = { node: createOption(settings.node), timeout: createOption(settings.timeout), json: jsonSwitch }
+
+/**
+ * @param outside - surroundings of the program
+ * @param version - version of the program
+ * @returns the commands; the handler of each returns a `CommandResult`
+ * @internal
+ */
+
+export function createCommands (outside: Outside, version: string) {
+  return subcommands({
+    name: 'lavenderturn-ctl',
+    version,
+    description: 'Checks, compares and applies declarations, and shows the state of the fleet',
+    cmds: {
+      validate: createValidate(),
+      diff: createDiff(outside),
+      apply: createApply(outside),
+      get: createReader(outside, { name: 'get', description: 'Print the declaration in force', run: get }),
+      status: createReader(outside, { name: 'status', description: 'Print members, endpoints and team usage', run: status }),
+      key: createKeyCommands(outside)
+    }
+  })
+}
+
+function createValidate () {
+  return command({
+    name: 'validate',
+    description: 'Check a declaration without a node',
+    args: { files, json: jsonSwitch },
+    handler: async ({ files, json }): Promise<CommandResult> => ({ output: await validate(requireFiles(files)), json })
+  })
+}
+
+function createDiff (outside: Outside) {
+  return command({
+    name: 'diff',
+    description: 'Print what would change from a node, or from other files, to a declaration',
+    args: {
+      files,
+      against: createOption(settings.against),
+      ...nodeOptions,
+      node: createOption({ ...settings.node, required: false })
+    },
+    handler: async ({ files, against, node, timeout, json }): Promise<CommandResult> => {
+      // The node may come from the environment, so the files go first.
+      if (node === undefined && against === undefined) {
+        throw new BadSettingError(`either ${nameSetting(settings.node)} or ${nameSetting(settings.against)} is needed`)
+      }
+      const other = against?.split(',') ?? createClient(outside, { node, timeout })
+      return { output: await diff({ files: requireFiles(files), against: other }), json }
+    }
+  })
+}
+
+function createApply (outside: Outside) {
+  return command({
+    name: 'apply',
+    description: 'Have a declaration accepted and wait until it is in force',
+    args: {
+      files,
+      base: createOption(settings.base),
+      dryRun: createSwitch(settings.dryRun),
+      wait: createOption(settings.wait),
+      ...nodeOptions
+    },
+    handler: async ({ files, base, dryRun, wait, node, timeout, json }): Promise<CommandResult> => {
+      const options = {
+        files: requireFiles(files),
+        client: createClient(outside, { node, timeout }),
+        base: base === undefined ? undefined : toId<never>(Number(base)),
+        dryRun,
+        wait: millis(Number(wait))
+      }
+      return { output: await apply(options, outside), json }
+    }
+  })
+}
+
+interface Reader {
+  readonly name: string
+  readonly description: string
+  readonly run: (client: ControlClient) => Promise<Output>
+}
+
+function createReader (outside: Outside, { name, description, run }: Reader) {
+  return command({
+    name,
+    description,
+    args: nodeOptions,
+    handler: async ({ node, timeout, json }): Promise<CommandResult> => {
+      return { output: await run(createClient(outside, { node, timeout })), json }
+    }
+  })
+}
+
+function createKeyCommands ({ randomBytes, readInput }: Outside) {
+  return subcommands({
+    name: 'key',
+    description: 'Make and hash keys of callers',
+    cmds: {
+      new: command({
+        name: 'new',
+        description: 'Make a random key; print the key and its hash',
+        args: { json: jsonSwitch },
+        handler: async ({ json }): Promise<CommandResult> => ({ output: createKey(randomBytes), json })
+      }),
+      hash: command({
+        name: 'hash',
+        description: 'Print the hash of the key on standard input',
+        args: { json: jsonSwitch },
+        handler: async ({ json }): Promise<CommandResult> => ({ output: hashInput(await readInput()), json })
+      })
+    }
+  })
+}
+
+function requireFiles (files: readonly string[]): readonly string[] {
+  if (files.length === 0) throw new BadSettingError('FILES is missing: name the files or folders of a declaration')
+  return files
+}
+
+function createClient (
+  outside: Outside, { node, timeout }: { readonly node: string | undefined, readonly timeout: string | undefined }
+): ControlClient {
+  return outside.createClient({ address: toId(node!), timeout: millis(Number(timeout)) })
+}
