Add the demo and a measurement of the path

Cause: nothing ran the real programs together, and what the path adds to a request was not measured.

Change: lavenderturn-demo starts nodes and backend servers as child processes, sends lookups, reservations and uploads, stops a node under load and reports percentiles by team.

--- /dev/null
+++ b/apps/demo/src/Children.ts
@@ -0,0 +1,83 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { once } from 'node:events'
+
+/** Time that a child gets for its planned stop before it is killed. */
+const STOP_TIMEOUT_MS = 30_000
+
+/** @public */
+export interface ChildrenOptions {
+  readonly onStopping: (name: string) => void
+  readonly onExit: (name: string, code: number | null) => void
+}
+
+/** Child processes of the demo. Only these are ever signalled, each by its own process id. @public */
+export class Children {
+  private readonly running = new Map<string, ChildProcess>()
+  private readonly killAll = (): void => { for (const child of this.running.values()) child.kill('SIGKILL') }
+
+  constructor (private readonly options: ChildrenOptions) {
+    // The last resort when the demo itself ends by an error.
+    process.on('exit', this.killAll)
+  }
+
+  /** Process ids of the children that run. */
+  get pids (): number[] {
+    return [...this.running.values()].map(({ pid }) => pid!)
+  }
+
+  /**
+   * Starts a child.
+   *
+   * @param name - its name in the demo
+   * @param command - program and arguments
+   * @returns the first line of its standard output, or undefined when it ends without one
+   */
+  async start (name: string, [program, ...args]: readonly string[]): Promise<string | undefined> {
+    const child = spawn(program!, args, { stdio: ['ignore', 'pipe', 'inherit'] })
+    this.running.set(name, child)
+    child.once('exit', (code) => {
+      this.running.delete(name)
+      this.options.onExit(name, code)
+    })
+    return await new Promise((resolve) => {
+      let text = ''
+      child.stdout.on('data', (data: Buffer) => {
+        text += data.toString()
+        if (text.includes('\n')) resolve(text.split('\n', 1)[0])
+      })
+      child.once('spawn', () => { if (!this.running.has(name)) resolve(undefined) })
+      child.once('exit', () => { resolve(undefined) })
+      child.once('error', () => { resolve(undefined) })
+    })
+  }
+
+  /**
+   * Asks a child to stop and waits until it has ended.
+   *
+   * @param name - the child
+   */
+  async stop (name: string): Promise<void> {
+    const child = this.running.get(name)
+    if (child === undefined) return
+    this.options.onStopping(name)
+    const exited = once(child, 'exit')
+    child.kill('SIGTERM')
+    const timer = setTimeout(() => { child.kill('SIGKILL') }, STOP_TIMEOUT_MS)
+    await exited
+    clearTimeout(timer)
+  }
+
+  /**
+   * Stops children together.
+   *
+   * @param match - selects them by name; all by default
+   */
+  async stopAll (match: (name: string) => boolean = () => true): Promise<void> {
+    await Promise.all([...this.running.keys()].filter(match).map(async (name) => { await this.stop(name) }))
+  }
+
+  /** Stops listening for the end of the demo. */
+  dispose (): void {
+    process.off('exit', this.killAll)
+  }
+}
--- /dev/null
+++ b/apps/demo/src/demo.test.ts
@@ -0,0 +1,68 @@
+import { fileURLToPath } from 'node:url'
+import { describe, expect, it } from 'vitest'
+import type { DemoContext } from './DemoContext'
+import { createDemoState } from './DemoState'
+import { formatOutcomes } from './formatOutcomes'
+import { MissingPlatformSteps, PlatformSteps } from './PlatformSteps'
+import { reduceDemo } from './reduceDemo'
+import { runDemo } from './runDemo'
+
+const TIMEOUT_MS = 120_000
+
+function findSource (path: string): readonly string[] {
+  return [process.execPath, '--import', 'tsx', fileURLToPath(new URL(path, import.meta.url))]
+}
+
+const programs = {
+  node: findSource('__fixtures__/documentNode.ts'),
+  backend: findSource('../../../standins/backend-server/src/main.ts')
+}
+
+/** Tells the nodes of the fixture where the others are, instead of starting a platform. */
+class FixedDocumentSteps extends PlatformSteps {
+  override async start ({ nodes }: DemoContext): Promise<readonly string[]> {
+    return [nodes.map(({ adminAddress }) => adminAddress).join()]
+  }
+
+  override async apply (): Promise<void> {}
+}
+
+describe('the demo', () => {
+  it('answers all requests, cuts none in a planned stop, and leaves no process behind', async () => {
+    const lines: string[] = []
+    const result = await runDemo({
+      programs, platform: new FixedDocumentSteps(), write: (line) => { lines.push(line) }
+    })
+    expect(result.state.problems).toEqual([])
+    expect(result.code).toBe(0)
+    expect(result.leftPids).toEqual([])
+    expect(lines).toContain('node-dc-1 stopped with code 0')
+    expect(lines.some((line) => /^atlas +reservation +\d+/.test(line))).toBe(true)
+  }, TIMEOUT_MS)
+
+  it('ends with code 1 and without processes when a step fails', async () => {
+    const result = await runDemo({ programs, platform: new MissingPlatformSteps(), write: () => {} })
+    expect(result).toMatchObject({ code: 1, leftPids: [] })
+    expect(result.state.problems).toEqual(['startPlatform: the demo cannot start the platform yet'])
+  })
+
+  it('stops everything when a child ends by itself', () => {
+    const state = createDemoState()
+    reduceDemo(state, { type: 'started' })
+    const effects = reduceDemo(state, { type: 'childExited', child: 'node-dc-1', code: 1 })
+    expect(effects).toContainEqual({ type: 'runStep', step: 'stopAll' })
+    reduceDemo(state, { type: 'stepDone', step: 'stopAll' })
+    expect(reduceDemo(state, { type: 'stepDone', step: 'report' }).at(-1)).toEqual({ type: 'exit', code: 1 })
+  })
+
+  it('counts a request that was cut as a failure', () => {
+    const state = createDemoState()
+    const outcome = { team: 'atlas', kind: 'lookup', latencyMs: 3, result: 'cut' } as const
+    reduceDemo(state, { type: 'requestEnded', outcome })
+    expect(state.problems).toHaveLength(1)
+    expect(formatOutcomes(state.outcomes)).toEqual([
+      'team   kind    requests  p50 ms  p99 ms  max ms  refused  cut  wrong',
+      'atlas  lookup  1         3.0     3.0     3.0     0        1    0'
+    ])
+  })
+})
--- /dev/null
+++ b/apps/demo/src/main.ts
@@ -0,0 +1,18 @@
+import { fileURLToPath } from 'node:url'
+import { MissingPlatformSteps } from './PlatformSteps'
+import { runDemo } from './runDemo'
+
+/**
+ * @param name - a program of `dist`, where this one lies too
+ * @returns the command that starts it
+ */
+function findProgram (name: string): readonly string[] {
+  return [process.execPath, '--enable-source-maps', fileURLToPath(new URL(`./${name}.mjs`, import.meta.url))]
+}
+
+const { code } = await runDemo({
+  programs: { node: findProgram('lavenderturn-node'), backend: findProgram('standin-backend-server') },
+  platform: new MissingPlatformSteps(),
+  write: (line) => { process.stdout.write(`${line}\n`) }
+})
+process.exitCode = code
--- a/apps/node/src/main.ts
+++ b/apps/node/src/main.ts
@@ -3,4 +3,4 @@
 
 void runProgram({
   program: 'lavenderturn-node', description: 'Proxy beside the backend servers of an instance', table: nodeSettings
-}, startNode)
+}, async (settings) => { await startNode(settings) })
--- a/apps/node/src/startNode.ts
+++ b/apps/node/src/startNode.ts
@@ -1,4 +1,4 @@
-import { createLog, createNode, endpointPolicies, type NodeSettings } from '@lavenderturn/runtime'
+import { createLog, createNode, endpointPolicies, type Node, type NodeOptions, type NodeSettings } from '@lavenderturn/runtime'
 import { randomInt } from 'node:crypto'
 import { createIdentity } from './createIdentity'
 import { openPort } from './openPort'
@@ -9,11 +9,12 @@
  * Starts a node, and stops it on SIGTERM or SIGINT.
  *
  * @param settings - checked settings
- * @returns when all ports are open
+ * @param overrides - parts that differ, for tests
+ * @returns the node, when all ports are open
  * @throws SettingError when a port cannot be opened
  * @internal
  */
-export async function startNode (settings: NodeSettings): Promise<void> {
+export async function startNode (settings: NodeSettings, overrides: Partial<NodeOptions> = {}): Promise<Node> {
   const identity = createIdentity(settings)
   const log = createLog({
     format: settings.logFormat, level: settings.logLevel, fields: { node: identity.nodeId }
@@ -23,7 +24,8 @@
     log,
     seed: settings.seed ?? randomInt(LARGEST_SEED),
     policies: { endpoint: endpointPolicies[settings.endpointPolicy]() },
-    exit: (code) => { void node.runtime.stop().finally(() => { process.exit(code) }) }
+    exit: (code) => { void node.runtime.stop().finally(() => { process.exit(code) }) },
+    ...overrides
   })
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.on(signal, () => {
@@ -34,4 +36,5 @@
   await openPort(node.forwardServer, 'forwardAddress', settings)
   const adminAddress = await openPort(node.adminServer, 'adminAddress', settings)
   log.info('node started', { callerAddress, forwardAddress: settings.forwardAddress, adminAddress })
+  return node
 }
--- a/packages/runtime/src/exchange/Exchange.ts
+++ b/packages/runtime/src/exchange/Exchange.ts
@@ -91,7 +91,7 @@
       this.request.on('error', (err) => { reject(this.describeFailure(err)) })
       this.request.on('close', () => {
         this.stopTimers()
-        reject(this.describeFailure())
+        if (this.response === undefined) reject(this.describeFailure())
       })
       this.send()
     })
--- a/packages/runtime/src/journal/describeRecord.ts
+++ b/packages/runtime/src/journal/describeRecord.ts
@@ -6,11 +6,11 @@
  * Fields that go into a record. The list is closed, because a path, a header or a body can hold a caller's key, and a
  * field that somebody adds later must not bring one into the journal.
  */
-const DETAIL_FIELDS = [
+const DETAIL_FIELDS: ReadonlySet<string> = new Set([
   'bodyBytes', 'bootId', 'code', 'complete', 'epoch', 'hold', 'kind', 'keyInTarget', 'message', 'method', 'node',
   'nodeId', 'origin', 'partition', 'process', 'ready', 'reason', 'replayable', 'result', 'revision', 'route', 'run',
   'sent', 'sequence', 'serverDied', 'service', 'slots', 'state', 'status', 'timeout'
-] as const
+])
 
 type Described = Pick<JournalRecord, 'attempt' | 'detail' | 'endpoint' | 'name' | 'request' | 'team'>
 
@@ -43,7 +43,8 @@
 }
 
 function collectDetail (fields: Fields, detail: Record<string, string | number | boolean>): void {
-  for (const name of DETAIL_FIELDS) {
+  for (const name in fields) {
+    if (!DETAIL_FIELDS.has(name)) continue
     const value = fields[name]
     if (typeof value === 'string' || typeof value === 'number' || typeof value === 'boolean') detail[name] = value
   }
--- a/packages/runtime/src/settings/parseSettings.ts
+++ b/packages/runtime/src/settings/parseSettings.ts
@@ -43,7 +43,7 @@
   const parsed = await runSafely(createCommand(source), [...argv])
   if (parsed._tag === 'error') {
     const { exitCode, message } = parsed.error.config
-    if (exitCode === 0) return { kind: 'text', text: message }
+    if (exitCode === 0) return { kind: 'text', text: markRequired(table, message) }
     throw new SettingError(argv.join(' '), message.replaceAll(/\s+/g, ' '))
   }
   const written = parsed.value as Readonly<Record<string, string | boolean | undefined>>
@@ -65,6 +65,15 @@
   })
 }
 
+/** The library takes every setting for optional, because the environment can hold it. */
+function markRequired (table: SettingsTable, help: string): string {
+  const required = Object.values(table).filter((entry) => entry.default === undefined && entry.optional !== true)
+  return help.split('\n').map((line) => {
+    const isRequired = required.some(({ flag: name }) => line.trimStart().startsWith(`--${name} `))
+    return isRequired ? line.replace(/\[optional\]$/, '[required]') : line
+  }).join('\n')
+}
+
 function checkEnvironment (table: SettingsTable, env: SettingsSource<SettingsTable>['env']): void {
   const known = new Set(Object.values(table).map((entry) => entry.env))
   for (const name of Object.keys(env)) {
--- a/packages/runtime/src/settings/settings.test.ts
+++ b/packages/runtime/src/settings/settings.test.ts
@@ -52,6 +52,7 @@
       expect(help).toMatchObject({ kind: 'text', text: expect.stringContaining(`--${flag}`) })
       expect(help).toMatchObject({ text: expect.stringContaining(env) })
     }
+    expect(help).toMatchObject({ text: expect.stringMatching(/--region .*\[required\]$/m) })
     expect(await parse(['--version'])).toEqual({ kind: 'text', text: '9.9.9' })
   })
 
--- /dev/null
+++ b/tools/bench/measurePath.ts
@@ -0,0 +1,125 @@
+/**
+ * Measures what the path through two nodes adds to a request: `npx tsx tools/bench/measurePath.ts [seconds]`.
+ * Each request through the path is paired with a direct call of the same backend server, in turn first and second.
+ * The nodes are real processes with a fixed control document.
+ */
+import { build } from 'hdr-histogram-js'
+import { Agent, request } from 'node:http'
+import { cpus } from 'node:os'
+import { setTimeout as delay } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { Children } from '../../apps/demo/src/Children'
+import { DEMO_REGION, DEMO_TEAMS } from '../../apps/demo/src/demoTraffic'
+import { findPorts } from '../../apps/demo/src/findPorts'
+
+const REQUESTS_PER_SECOND = 108
+const WARM_UP_PAIRS = 300
+const MICROSECONDS_PER_MILLISECOND = 1_000
+
+function source (path: string): string[] {
+  return [process.execPath, '--import', 'tsx', fileURLToPath(new URL(path, import.meta.url))]
+}
+
+const children = new Children({ onStopping: () => {}, onExit: () => {} })
+const agent = new Agent({ keepAlive: true })
+
+async function call (address: string, path: string): Promise<number> {
+  const startedAt = performance.now()
+  const [host, port] = address.split(':')
+  const headers = { authorization: `Bearer ${DEMO_TEAMS[0]!.key}` }
+  return await new Promise((resolve, reject) => {
+    request({ host, port, path, agent, headers }, (res) => {
+      res.resume()
+      res.on('end', () => {
+        if (res.statusCode === 200) resolve(performance.now() - startedAt)
+        else reject(new Error(`status ${res.statusCode}`))
+      })
+    }).on('error', reject).end()
+  })
+}
+
+interface Path {
+  readonly caller: string
+  readonly direct: string
+  /** Admin addresses of gateway and admission. */
+  readonly admins: readonly string[]
+}
+
+/** Processor time that a node has used, which other load on the machine hardly changes. */
+async function readCpuSeconds (admin: string): Promise<number> {
+  const res = await fetch(`http://${admin}/metrics`)
+  return Number(/^process_cpu_seconds_total (\S+)$/m.exec(await res.text())![1])
+}
+
+async function startProcesses (): Promise<Path> {
+  const ports = await findPorts(8)
+  const admins = [ports[3], ports[7]].map((port) => `127.0.0.1:${port}`)
+  for (const [index, name] of ['gateway', 'admission'].entries()) {
+    const [caller, forward, control, admin] = ports.slice(index * 4).map((port) => `127.0.0.1:${port}`)
+    void children.start(name, [
+      ...source('../../apps/demo/src/__fixtures__/documentNode.ts'), '--node-id', name, '--data-centre', 'dc-1',
+      '--region', DEMO_REGION, '--caller-address', caller!, '--forward-address', forward!, '--control-address',
+      control!, '--admin-address', admin!, '--drain-grace', '10', '--log-level', 'warn', admins.join()
+    ])
+  }
+  const line = await children.start('backend', [
+    ...source('../../standins/backend-server/src/main.ts'), '--service', 'stock', '--service-time-ms', '1', '--slots',
+    '64', '--admin-address', admins[1]!
+  ])
+  return { caller: `127.0.0.1:${ports[0]}`, direct: JSON.parse(line!).address, admins }
+}
+
+async function measure (seconds: number): Promise<void> {
+  const { caller, direct, admins } = await startProcesses()
+  for (let left = 200; ; left--) {
+    if (await call(caller, '/stock/ready').then(() => true, () => false)) break
+    if (left === 0) throw new Error('the path does not come up')
+    await delay(100)
+  }
+  const histograms = { direct: build(), path: build(), added: build() }
+  const pairs = seconds * REQUESTS_PER_SECOND
+  const startedAt = performance.now()
+  const open: Array<Promise<void>> = []
+  let cpuBefore: number[] = []
+  for (let pair = 0; pair < pairs + WARM_UP_PAIRS; pair++) {
+    if (pair === WARM_UP_PAIRS) cpuBefore = await Promise.all(admins.map(readCpuSeconds))
+    await delay(Math.max(0, startedAt + pair * 1_000 / REQUESTS_PER_SECOND - performance.now()))
+    open.push(runPair(pair, caller, direct, (name, ms) => {
+      const value = Math.max(0, Math.round(ms * MICROSECONDS_PER_MILLISECOND))
+      if (pair >= WARM_UP_PAIRS) histograms[name].recordValue(value)
+    }))
+  }
+  await Promise.all(open)
+  const cpuAfter = await Promise.all(admins.map(readCpuSeconds))
+  process.stdout.write(`${pairs} pairs at ${REQUESTS_PER_SECOND} req/s, ${cpus().length} processors\n`)
+  for (const [name, histogram] of Object.entries(histograms)) {
+    const at = (percent: number): string => (histogram.getValueAtPercentile(percent) / 1_000).toFixed(2)
+    process.stdout.write(`${name}: p10 ${at(10)} ms, p50 ${at(50)} ms, p90 ${at(90)} ms, p99 ${at(99)} ms, max ${at(100)} ms\n`)
+  }
+  for (const [index, name] of ['gateway', 'admission'].entries()) {
+    const ms = (cpuAfter[index]! - cpuBefore[index]!) * 1_000 / pairs
+    process.stdout.write(`${name}: ${ms.toFixed(3)} ms of processor time a request\n`)
+  }
+}
+
+async function runPair (
+  pair: number,
+  caller: string,
+  direct: string,
+  record: (name: 'direct' | 'path' | 'added', ms: number) => void
+): Promise<void> {
+  const [first, second] = pair % 2 === 0 ? [caller, direct] : [direct, caller]
+  const firstMs = await call(first!, '/stock/pegs')
+  const secondMs = await call(second!, '/stock/pegs')
+  const [pathMs, directMs] = pair % 2 === 0 ? [firstMs, secondMs] : [secondMs, firstMs]
+  record('path', pathMs)
+  record('direct', directMs)
+  record('added', pathMs - directMs)
+}
+
+try {
+  await measure(Number(process.argv[2] ?? 30))
+} finally {
+  agent.destroy()
+  await children.stopAll()
+}
