--- a/packages/decisions/src/control/fleet.test.ts
+++ b/packages/decisions/src/control/fleet.test.ts
@@ -10,7 +10,7 @@
 } {
   const result: { answer?: AnswerApply } = {}
   fleet.call(node, (callId) => ({
-    slice: 'control', type: 'applyAsked', callId, base: toId(base), declaration: makeFleetDeclaration({ teams: [team] })
+    slice: 'control', type: 'applyAsked', callId, base: toId(base), declaration: makeFleetDeclaration({ team })
   }), (effect) => { result.answer = effect as AnswerApply })
   return result
 }
--- a/packages/decisions/src/membership/membership.test.ts
+++ b/packages/decisions/src/membership/membership.test.ts
@@ -1,4 +1,4 @@
-import { makeIdentity, makeMember, makeState, makeVirtualTime, readSeed, type VirtualTime } from '@lavenderturn/fixtures'
+import { makeIdentity, makeMember, makePropertyOptions, makeState, makeVirtualTime, type VirtualTime } from '@lavenderturn/fixtures'
 import { type Address, type CallId, millis, type NodeId, type TimerId, toId } from '@lavenderturn/types'
 import fc from 'fast-check'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
@@ -154,7 +154,7 @@
       announce(fleet, nodeId(7), 'draining')
       fleet.time.run(CHANGE_BOUND_MS)
       expect(endpointStates(fleet)).toEqual(new Set(['draining']))
-    }), readSeed({ numRuns: 10 }))
+    }), makePropertyOptions({ runs: 10 }))
   })
 
   it('declares a killed node dead everywhere and keeps every live one', () => {
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -1,10 +1,13 @@
 import { createNodeState, type NodeIdentity, type PolicyOptions } from '@lavenderturn/decisions'
+import type { Address } from '@lavenderturn/types'
 import type { Server } from 'node:http'
 import type { Http2Server } from 'node:http2'
 import { createAdminServer } from './admin/createAdminServer'
 import { AdmissionHandler, type AdmissionHandlerOptions } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
 import { type Clock, ProcessClock } from './Clock'
+import { addControlRoutes } from './control/addControlRoutes'
+import { ControlHandler } from './control/ControlHandler'
 import { createCallerServer } from './gateway/createCallerServer'
 import { GatewayHandler, type GatewayHandlerOptions } from './gateway/GatewayHandler'
 import { createHealthRoutes } from './health/createHealthRoutes'
@@ -19,6 +22,8 @@
 import { Metrics } from './metrics/Metrics'
 import { createControlServer } from './peers/createControlServer'
 import { PeerTransports } from './peers/PeerTransports'
+import { PlatformHandler } from './platform/PlatformHandler'
+import type { PlatformStores } from './platform/PlatformStores'
 import { Runtime, type StepObserver } from './Runtime'
 import { TimerHandler } from './TimerHandler'
 
@@ -29,6 +34,8 @@
   /** Monotonic time of the reducer. */
   readonly clock?: Clock
   readonly policies?: PolicyOptions
+  /** Absent: the node has no store and cannot accept changes. */
+  readonly platform?: PlatformStores
   /** Observers besides the journal and the metrics. */
   readonly observers?: readonly StepObserver[]
   /** When an exchange with another node counts as silent. */
@@ -52,6 +59,12 @@
   readonly hybridClock: HybridClock
   /** Connections to other nodes; closed when the node has stopped. */
   readonly peers: PeerTransports
+  /**
+   * Joins the other nodes and starts to follow the control document; called once the ports are open.
+   *
+   * @param seeds - control addresses of other nodes
+   */
+  readonly start: (seeds?: readonly Address[]) => void
 }
 
 /**
@@ -62,7 +75,8 @@
  * @public
  */
 export function createNode ({
-  identity, seed, policies, log, exit, observers = [], clock = new ProcessClock(), pathProgress, backendProgress
+  identity, seed, policies, log, platform, exit, observers = [], clock = new ProcessClock(), pathProgress,
+  backendProgress
 }: NodeOptions): Node {
   const hybridClock = new HybridClock()
   const journal = new Journal({ identity, clock: hybridClock })
@@ -79,8 +93,17 @@
   const peers = new PeerTransports()
   const health = new HealthHandler({ runtime, peers, nodeId: identity.nodeId })
   const membership = new MembershipHandler(runtime, peers)
+  const control = new ControlHandler({ runtime, transports: peers })
   const handlers = [
-    gateway, admission, health, membership, lifecycle, new TimerHandler(runtime), new LogHandler({ log })
+    gateway,
+    admission,
+    health,
+    membership,
+    control,
+    new PlatformHandler({ runtime, stores: platform }),
+    lifecycle,
+    new TimerHandler(runtime),
+    new LogHandler({ log })
   ]
   for (const handler of handlers) runtime.addHandler(handler)
   const callerServer = createCallerServer({ runtime, handler: gateway, counter })
@@ -93,12 +116,17 @@
     forwardServer,
     controlServer: createControlServer([
       createHealthRoutes({ runtime, handler: health }),
-      createMembershipRoutes({ runtime, handler: membership })
+      createMembershipRoutes({ runtime, handler: membership }),
+      addControlRoutes(control)
     ]),
     adminServer: createAdminServer({ runtime, lifecycle, journal, metrics }),
     lifecycle,
     journal,
     hybridClock,
-    peers
+    peers,
+    start: (seeds = []) => {
+      runtime.dispatch({ slice: 'membership', type: 'started', seeds })
+      runtime.dispatch({ slice: 'control', type: 'started' })
+    }
   }
 }
