--- a/apps/demo/src/demo.test.ts
+++ b/apps/demo/src/demo.test.ts
@@ -55,6 +55,15 @@
     expect(reduceDemo(state, { type: 'stepDone', step: 'report' }).at(-1)).toEqual({ type: 'exit', code: 1 })
   })
 
+  it('does not end before all children have stopped when it is interrupted twice', () => {
+    const state = createDemoState()
+    reduceDemo(state, { type: 'started' })
+    expect(reduceDemo(state, { type: 'interrupted' })).toContainEqual({ type: 'runStep', step: 'stopAll' })
+    expect(reduceDemo(state, { type: 'interrupted' })).toEqual([])
+    expect(reduceDemo(state, { type: 'childExited', child: 'node-dc-1', code: 0 })).toEqual([])
+    expect(state.step).toBe('stopAll')
+  })
+
   it('counts a request that was cut as a failure', () => {
     const state = createDemoState()
     const outcome = { team: 'atlas', kind: 'lookup', latencyMs: 3, result: 'cut' } as const
--- a/apps/demo/src/main.ts
+++ b/apps/demo/src/main.ts
@@ -15,4 +15,5 @@
   platform: new MissingPlatformSteps(),
   write: (line) => { process.stdout.write(`${line}\n`) }
 })
-process.exitCode = code
+// Requests and polls of a step that was broken off may still be open.
+process.exit(code)
--- a/apps/demo/src/reduceDemo.ts
+++ b/apps/demo/src/reduceDemo.ts
@@ -35,7 +35,8 @@
     case 'stepDone': return event.step === state.step ? next(state, event.step) : []
     case 'stepFailed':
       state.problems.push(`${event.step}: ${event.problem}`)
-      return event.step === state.step ? skipToEnd(state, event.step) : []
+      if (event.step !== state.step) return []
+      return isEnding(state) ? next(state, event.step) : enter(state, 'stopAll')
     case 'requestEnded': return addOutcome(state, event.outcome)
     case 'childStopping':
       state.stopping.add(event.child)
@@ -43,7 +44,7 @@
     case 'childExited': return checkExit(state, event)
     case 'interrupted':
       state.problems.push('interrupted')
-      return state.step === undefined ? [] : skipToEnd(state, state.step)
+      return isEnding(state) ? [] : enter(state, 'stopAll')
   }
 }
 
@@ -63,10 +64,9 @@
   ]
 }
 
-function skipToEnd (state: DemoState, step: DemoStep): DemoEffect[] {
-  // Children are stopped once; a failure after that goes on with the report.
-  if (step === 'stopAll' || step === 'report') return next(state, step)
-  return enter(state, 'stopAll')
+/** Children are stopped once; what fails after that only counts as a problem. */
+function isEnding ({ step }: DemoState): boolean {
+  return step === undefined || step === 'stopAll' || step === 'report'
 }
 
 function addOutcome (state: DemoState, outcome: RequestOutcome): DemoEffect[] {
@@ -80,6 +80,5 @@
   const wasStopped = state.stopping.delete(child)
   if (wasStopped && code === 0) return [{ type: 'print', line: `${child} stopped with code 0` }]
   state.problems.push(`${child} ended with code ${code}${wasStopped ? '' : ' by itself'}`)
-  if (wasStopped || state.step === undefined) return []
-  return skipToEnd(state, state.step)
+  return wasStopped || isEnding(state) ? [] : enter(state, 'stopAll')
 }
--- a/packages/runtime/src/admin/createAdminServer.ts
+++ b/packages/runtime/src/admin/createAdminServer.ts
@@ -1,6 +1,8 @@
 import { toId } from '@lavenderturn/types'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { setImmediate } from 'node:timers/promises'
 import type { Journal } from '../journal/Journal'
+import type { JournalPage } from '../journal/JournalRecord'
 import type { LifecycleHandler } from '../lifecycle/LifecycleHandler'
 import type { Metrics } from '../metrics/Metrics'
 import { readPrefix } from '../readPrefix'
@@ -12,6 +14,9 @@
 /** An announcement has about 150 bytes. */
 const ANNOUNCEMENT_LIMIT_BYTES = 4_096
 
+/** Takes about a millisecond to write. */
+const RECORDS_PER_PIECE = 200
+
 /** @public */
 export interface AdminServerOptions {
   readonly runtime: Runtime
@@ -54,9 +59,9 @@
       res.setHeader('content-type', metrics.registry.contentType)
       res.end(await metrics.registry.metrics())
     }],
-    ['GET /timeline', (req, res) => {
+    ['GET /timeline', async (req, res) => {
       const after = Number(new URL(req.url!, 'http://admin').searchParams.get('after') ?? -1)
-      sendJson(res, journal.read(Number.isInteger(after) ? after : -1))
+      await sendPage(res, journal.read(Number.isInteger(after) ? after : -1))
     }],
     ['GET /status', (_, res) => { sendJson(res, runtime.query(describeStatus)) }],
     ['POST /announce', async (req, res) => { await receiveAnnouncement(runtime, req, res) }]
@@ -96,6 +101,18 @@
   res.writeHead(status, { 'content-type': 'text/plain' }).end(`${text}\n`)
 }
 
+/** Writes a page in pieces: 13 MB at once would hold up the requests of callers. */
+async function sendPage (res: ServerResponse, { records, ...page }: JournalPage): Promise<void> {
+  res.writeHead(200, { 'content-type': 'application/json' })
+  res.write(`${JSON.stringify(page).slice(0, -1)},"records":[`)
+  for (let index = 0; index < records.length && !res.destroyed; index += RECORDS_PER_PIECE) {
+    const piece = records.slice(index, index + RECORDS_PER_PIECE).map((record) => JSON.stringify(record)).join()
+    res.write(index === 0 ? piece : `,${piece}`)
+    await setImmediate()
+  }
+  res.end(']}')
+}
+
 function sendJson (res: ServerResponse, value: unknown): void {
   res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
 }
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -6,12 +6,12 @@
 import { ExchangeAgent } from '../exchange/ExchangeAgent'
 import { ExchangeError } from '../exchange/ExchangeError'
 import { type AttemptState, probeAddress } from '../exchange/probeAddress'
-import { hasFraming } from '../gateway/hasFraming'
+import { isRelayable } from '../gateway/isRelayable'
 import { headers, selectHeaders } from '../headers'
 import { HybridClock } from '../journal/HybridClock'
 import { formatLoad } from '../loadHeader'
 import { type BodyPrefix, readPrefix } from '../readPrefix'
-import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
+import { ANSWER_BUFFER_BYTES, breakOff, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
 import { describeLoad } from './describeLoad'
 import type { ForwardExchange } from './ForwardExchange'
@@ -165,7 +165,7 @@
     const echo = response.headers[headers.attempt]
     // Backend servers need not echo the attempt, but an answer of another attempt is never passed on.
     if (echo !== undefined && echo !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
-    if (!hasFraming(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    if (!isRelayable(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
     return { response, prefix: await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES }) }
   }
 
@@ -203,7 +203,7 @@
     endpoint: EndpointId
   ): void {
     const { res } = exchange
-    if (res.headersSent) res.destroy()
+    if (res.headersSent) breakOff(res)
     if (res.destroyed) return
     if (outcome.kind === 'shed' || !outcome.sent) {
       this.answerWithResult(attemptId, exchange, { result: 'noEndpoint', endpoint })
--- /dev/null
+++ b/packages/runtime/src/exchange/ExchangeAgent.test.ts
@@ -0,0 +1,59 @@
+import { Closers, startRawServer } from '@lavenderturn/fixtures/runtime'
+import { toId } from '@lavenderturn/types'
+import { once } from 'node:events'
+import { setImmediate } from 'node:timers/promises'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { Exchange } from './Exchange'
+import { ExchangeAgent } from './ExchangeAgent'
+
+describe('kept connections', () => {
+  let closers: Closers
+  beforeEach(() => { closers = new Closers() })
+  afterEach(async () => { await closers.close() })
+
+  async function start (idleTimeoutMs: number, head = '') {
+    const agent = new ExchangeAgent({ idleTimeoutMs })
+    closers.add(() => { agent.destroy() })
+    const { address, sockets } = await startRawServer(closers, (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${head}content-length: 0\r\n\r\n`)
+    })
+    const exchange = async (): Promise<void> => {
+      const response = await new Exchange({
+        agent,
+        address,
+        attemptId: toId('a'),
+        method: 'GET',
+        path: '/',
+        headers: {},
+        progress: { silentAfterMs: Infinity }
+      }).start()
+      response.resume()
+      await once(response, 'end')
+      await setImmediate()
+    }
+    return { exchange, sockets }
+  }
+
+  it('are used again', async () => {
+    const { exchange, sockets } = await start(10_000)
+    await exchange()
+    await exchange()
+    expect(sockets).toHaveLength(1)
+  })
+
+  it('are not used again after a pause of the process that was longer than they may be idle', async () => {
+    const { exchange, sockets } = await start(50)
+    await exchange()
+    // The process does nothing for a while, so that no timer fires before the next exchange.
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 200)
+    await exchange()
+    expect(sockets).toHaveLength(2)
+  })
+
+  it('are not used again when the server closes them sooner than a request could arrive', async () => {
+    const { exchange, sockets } = await start(10_000, 'keep-alive: timeout=1\r\n')
+    await exchange()
+    await exchange()
+    expect(sockets).toHaveLength(2)
+  })
+})
--- a/packages/runtime/src/gateway/GatewayHandler.ts
+++ b/packages/runtime/src/gateway/GatewayHandler.ts
@@ -9,11 +9,11 @@
 import { HybridClock } from '../journal/HybridClock'
 import { parseLoad } from '../loadHeader'
 import { readPrefix } from '../readPrefix'
-import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
+import { ANSWER_BUFFER_BYTES, breakOff, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
 import type { CallerExchange } from './CallerExchange'
-import { hasFraming } from './hasFraming'
+import { isRelayable } from './isRelayable'
 
 /** Connections that a gateway keeps to one other node. */
 const CONNECTIONS_PER_NODE = 256
@@ -128,7 +128,7 @@
     this.clock.receive(response.headers[headers.clock])
     if (response.headers[headers.attempt] !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
     if (response.headers[headers.result] !== undefined) return this.receiveRefusal(exchange, effect, response)
-    if (!hasFraming(exchange.req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    if (!isRelayable(exchange.req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
     const prefix = await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES })
     exchange.answer = { attemptId, response, prefix }
     const load = parseLoad(response.headers[headers.load])
@@ -178,7 +178,7 @@
     this.exchanges.delete(requestId)
     // `endRequest` asks to drop the attempt with a later effect, which does not find the exchange any more.
     for (const attempt of exchange.attempts.values()) attempt.cancel()
-    if (res.headersSent) res.destroy()
+    if (res.headersSent) breakOff(res)
     else sendProblem({ req, res, requestId, result, run, detail })
   }
 }
--- a/packages/runtime/src/gateway/answers.test.ts
+++ b/packages/runtime/src/gateway/answers.test.ts
@@ -114,6 +114,22 @@
     }
   })
 
+  it.each([
+    ['a status that is none', 'HTTP/1.1 099 Odd\r\ncontent-length: 0\r\n\r\n'],
+    ['a switch of protocols', 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n'],
+    ['bytes that are not HTTP', 'nonsense\r\n\r\n'],
+    ['two kinds of framing', 'HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'],
+    ['a bad chunk', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
+  ])('answers 502 and goes on when a backend server sends %s', async (_, text) => {
+    const backend = await startRawServer(closers, (socket) => { socket.write(text) })
+    const { callerAddress } = await startTestPath(closers, {
+      backends: [backend.address], route: { repeatable: false }
+    })
+    for (let count = 0; count < 2; count++) {
+      expect((await sendRequest(callerAddress)).json).toMatchObject({ status: 502, run: 'unknown' })
+    }
+  })
+
   it('passes HEAD on with its length, and neither early hints nor trailers', async () => {
     const backend = await startRawServer(closers, (socket, text) => {
       if (text.startsWith('HEAD')) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n')
--- a/packages/runtime/src/gateway/createCallerServer.ts
+++ b/packages/runtime/src/gateway/createCallerServer.ts
@@ -47,8 +47,10 @@
     requireHostHeader: false
   }, (req, res) => {
     counter?.open(res)
-    acceptRequest({ runtime, handler }, req, res).catch(() => {
-      if (!res.headersSent && !res.destroyed) sendProblem({ req, res, result: 'malformedRequest' })
+    acceptRequest({ runtime, handler }, req, res).catch((err: unknown) => {
+      if (!res.headersSent && !res.destroyed) sendProblem({ req, res, result: 'internal' })
+      // The state can no longer be trusted, so that the process ends as it does after an error in a timer.
+      setImmediate(() => { throw err })
     })
   })
   refuseMalformed(server)
@@ -67,7 +69,11 @@
   }
   const body = await readPrefix({
     body: req, limitBytes: BODY_BUFFER_BYTES, idleTimeoutMs: BODY_IDLE_TIMEOUT_MS
-  })
+  }).catch(() => undefined)
+  if (body === undefined) {
+    if (!res.destroyed) sendProblem({ req, res, result: 'malformedRequest', requestId })
+    return
+  }
   const key = readKey(req)
   const keyHash = key === undefined ? undefined : hashKey(key)
   const secrets = listSecretForms(key)
--- a/packages/runtime/src/relayAnswer.ts
+++ b/packages/runtime/src/relayAnswer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
-import { isBodiless } from './gateway/hasFraming'
+import { isBodiless } from './gateway/isRelayable'
 import { selectHeaders } from './headers'
 import type { BodyPrefix } from './readPrefix'
 
@@ -35,13 +35,26 @@
   }
   res.write(prefix.bytes)
   return await pipeline(response, res).then(() => true, () => {
-    res.destroy()
+    breakOff(res)
     return false
   })
 }
 
+/**
+ * Ends an answer so that it cannot be taken for a whole one. A reset also tells callers that wait for the end of the
+ * connection, as HTTP/1.0 does.
+ *
+ * @param res - an answer that has begun
+ * @internal
+ */
+export function breakOff (res: ServerResponse): void {
+  res.socket?.resetAndDestroy()
+  res.destroy()
+}
+
 function describeFraming (req: IncomingMessage, response: IncomingMessage, prefix: BodyPrefix): OutgoingHttpHeaders {
   const declared = response.headers['content-length']
+  if (response.statusCode === 204) return {}
   // The length of an answer to HEAD describes the body that GET would have.
   if (isBodiless(req.method, response.statusCode)) return declared === undefined ? {} : { 'content-length': declared }
   if (prefix.complete) return { 'content-length': String(prefix.bytes.length) }
--- a/tools/bench/measurePath.ts
+++ b/tools/bench/measurePath.ts
@@ -14,6 +14,10 @@
 
 const REQUESTS_PER_SECOND = 108
 const WARM_UP_PAIRS = 300
+
+/** Nodes run for hours; the first thousands of requests run in code that is not compiled yet. */
+const WARM_UP_REQUESTS = 10_000
+const WARM_UP_CALLERS = 8
 const MICROSECONDS_PER_MILLISECOND = 1_000
 
 function source (path: string): string[] {
@@ -76,6 +80,9 @@
     if (left === 0) throw new Error('the path does not come up')
     await delay(100)
   }
+  await Promise.all(Array.from({ length: WARM_UP_CALLERS }, async () => {
+    for (let count = 0; count < WARM_UP_REQUESTS / WARM_UP_CALLERS; count++) await call(caller, '/stock/warm')
+  }))
   const histograms = { direct: build(), path: build(), added: build() }
   const pairs = seconds * REQUESTS_PER_SECOND
   const startedAt = performance.now()
