Let callers read a refusal while they still send their body

Cause: a refusal in the middle of an upload closed the connection with unread bytes, so that the connection was reset and callers lost the refusal: 17 uploads were cut in one interrupted demo. A demo with 2 s of grace also cut a caller that used an idle connection again, which callers may do for 5 s.

The demo keeps the grace period of 6 s.

--- a/apps/demo/src/demoSteps.ts
+++ b/apps/demo/src/demoSteps.ts
@@ -20,10 +20,8 @@
 
 const POLL_MS = 50
 
-/** Makes an upload last longer than the grace period of the planned stop: 64 chunks of 64 KiB. */
-const SLOW_CHUNK_PAUSE_MS = 60
-
-const GRACE_MS = 2_000
+/** Makes an upload of 64 chunks of 64 KiB last longer than the grace period of a planned stop, which is 6 s. */
+const SLOW_CHUNK_PAUSE_MS = 130
 
 /** Slots of each backend server. */
 const SLOTS = 8
@@ -97,7 +95,6 @@
     '--control-address', node.controlAddress,
     '--admin-address', node.adminAddress,
     '--peers', nodes.filter(({ name }) => name !== node.name).map(({ controlAddress }) => controlAddress).join(),
-    '--drain-grace', String(GRACE_MS),
     '--log-level', 'warn',
     ...nodeArguments
   ])
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -2,6 +2,7 @@
 import { type AttemptId, type BootId, type EndpointId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
+import { endResponse } from '../endResponse'
 import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
 import { ExchangeAgent } from '../exchange/ExchangeAgent'
 import { ExchangeError } from '../exchange/ExchangeError'
@@ -224,7 +225,7 @@
     res.writeHead(resultCodes[result].status, {
       ...this.describeAnswer(attemptId, endpoint), [headers.result]: result, 'content-length': '0', ...extra
     })
-    res.end()
+    endResponse({ req, res })
   }
 
   private describeAnswer (attemptId: AttemptId, endpoint: EndpointId | undefined): OutgoingHttpHeaders {
--- a/packages/runtime/src/gateway/uploads.test.ts
+++ b/packages/runtime/src/gateway/uploads.test.ts
@@ -1,7 +1,9 @@
-import { Closers, makeBytes, sendRequest, startTestPath, until } from '@lavenderturn/fixtures/runtime'
+import { Closers, makeBytes, sendRequest, startTestPath, TEST_KEY, until } from '@lavenderturn/fixtures/runtime'
 import { makeBackendConfig, startBackendServer } from '@lavenderturn/standin-backend-server'
-import { type Address, toId } from '@lavenderturn/types'
+import { type Address, millis, toId } from '@lavenderturn/types'
+import { connect } from 'node:net'
 import { Readable } from 'node:stream'
+import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 
 const UPLOAD_BYTES = 5_000_000
@@ -53,6 +55,27 @@
     expect(server.state.requests.size).toBe(0)
   })
 
+  it('that are refused while they are sent get the refusal, also when they read it late', async () => {
+    const { server, address } = await startBackend()
+    const { callerAddress, gatewayNode, gatewayEvents } = await startTestPath(closers, { backends: [address] })
+    server.dispatch({ type: 'modesSet', modes: { shedRate: 1 } })
+    gatewayNode.runtime.tell({ slice: 'lifecycle', type: 'drainRequested', grace: millis(60_000) })
+    const [host, port] = callerAddress.split(':')
+    const socket = connect(Number(port), host)
+    closers.add(() => socket.destroy())
+    socket.on('error', () => {}).pause()
+    socket.write(`POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\nauthorization: Bearer ${TEST_KEY}\r\n\r\n`)
+    socket.write(Buffer.alloc(300_000))
+    await until(() => gatewayEvents.list('forwardRefused').length === 1, 'the upload is refused')
+    // A connection that the node has closed answers this with a reset, which drops what the caller has not read.
+    await new Promise((resolve) => socket.write(Buffer.alloc(300_000), resolve))
+    await delay(100)
+    let received = ''
+    socket.on('data', (data) => { received += data.toString() }).resume()
+    await until(() => received.includes('"code":1505') || socket.destroyed, 'the refusal arrives')
+    expect(received).toContain('"code":1505')
+  })
+
   it('are cancelled at the backend server when the caller goes away', async () => {
     const { server, address } = await startBackend()
     const { callerAddress, admissionEvents } = await startTestPath(closers, { backends: [address] })
--- a/packages/runtime/src/relayAnswer.ts
+++ b/packages/runtime/src/relayAnswer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
+import { endResponse } from './endResponse'
 import { isBodiless } from './gateway/isRelayable'
 import { selectHeaders } from './headers'
 import type { BodyPrefix } from './readPrefix'
@@ -30,11 +31,14 @@
     ...selectHeaders(response.headers), ...describeFraming(req, response, prefix), ...extra
   })
   if (prefix.complete) {
-    res.end(prefix.bytes)
+    endResponse({ req, res, body: prefix.bytes })
     return true
   }
   res.write(prefix.bytes)
-  return await pipeline(response, res).then(() => true, () => {
+  return await pipeline(response, res, { end: false }).then(() => {
+    endResponse({ req, res })
+    return true
+  }, () => {
     breakOff(res)
     return false
   })
--- a/packages/runtime/src/settings/nodeSettings.ts
+++ b/packages/runtime/src/settings/nodeSettings.ts
@@ -85,7 +85,8 @@
   drainGrace: {
     flag: 'drain-grace',
     env: 'LAVENDERTURN_DRAIN_GRACE',
-    description: 'Milliseconds that ports stay open at least in a planned stop; idle callers close within 5,000',
+    description: 'Milliseconds that ports stay open at least in a planned stop. Less than 5,000 can cut callers that use an ' +
+      'idle connection again',
     default: '6000',
     schema: wholeMillis
   },
