--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -4,16 +4,17 @@
 import { type AttemptId, type BootId, resultCodes, type ResultName, toId } from '@lavenderturn/types'
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
+import { endResponse } from '../endResponse'
 import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
 import { ExchangeAgent } from '../exchange/ExchangeAgent'
 import { ExchangeError } from '../exchange/ExchangeError'
 import type { AttemptState } from '../exchange/probeAddress'
-import { hasFraming } from '../gateway/hasFraming'
+import { isRelayable } from '../gateway/isRelayable'
 import { headers, selectHeaders } from '../headers'
 import { HybridClock } from '../journal/HybridClock'
 import { formatLoad } from '../loadHeader'
 import { type BodyPrefix, readPrefix } from '../readPrefix'
-import { ANSWER_BUFFER_BYTES, relayAnswer } from '../relayAnswer'
+import { ANSWER_BUFFER_BYTES, breakOff, relayAnswer } from '../relayAnswer'
 import type { Runtime } from '../Runtime'
 import type { ForwardExchange } from './ForwardExchange'
 
@@ -163,7 +164,7 @@
     const echo = response.headers[headers.attempt]
     // Backend servers need not echo the attempt, but an answer of another attempt is never passed on.
     if (echo !== undefined && echo !== attemptId) throw new ExchangeError({ reason: 'crossed', sent: true })
-    if (!hasFraming(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
+    if (!isRelayable(req.method, response)) throw new ExchangeError({ reason: 'truncated', sent: true })
     return { response, prefix: await readPrefix({ body: response, limitBytes: ANSWER_BUFFER_BYTES }) }
   }
 
@@ -200,14 +201,14 @@
     { result, load, extra = {} }: ResultAnswer
   ): void {
     // An answer that has begun cannot become a result any more; its caller must not take it for a whole one.
-    if (res.headersSent) res.destroy()
+    if (res.headersSent) breakOff(res)
     if (res.destroyed) return
     // A body that was refused must not be read as the next request of the connection.
     if (!req.complete) res.shouldKeepAlive = false
     res.writeHead(resultCodes[result].status, {
       ...this.describeAnswer(attemptId, load), [headers.result]: result, 'content-length': '0', ...extra
     })
-    res.end()
+    endResponse({ req, res })
   }
 
   private describeAnswer (attemptId: AttemptId, load: LoadReport | undefined): OutgoingHttpHeaders {
--- a/packages/runtime/src/relayAnswer.ts
+++ b/packages/runtime/src/relayAnswer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
-import { isBodiless } from './gateway/hasFraming'
+import { endResponse } from './endResponse'
+import { isBodiless } from './gateway/isRelayable'
 import { selectHeaders } from './headers'
 import type { BodyPrefix } from './readPrefix'
 
@@ -30,18 +31,34 @@
     ...selectHeaders(response.headers), ...describeFraming(req, response, prefix), ...extra
   })
   if (prefix.complete) {
-    res.end(prefix.bytes)
+    endResponse({ req, res, body: prefix.bytes })
     return true
   }
   res.write(prefix.bytes)
-  return await pipeline(response, res).then(() => true, () => {
-    res.destroy()
+  return await pipeline(response, res, { end: false }).then(() => {
+    endResponse({ req, res })
+    return true
+  }, () => {
+    breakOff(res)
     return false
   })
 }
 
+/**
+ * Ends an answer so that it cannot be taken for a whole one. A reset also tells callers that wait for the end of the
+ * connection, as HTTP/1.0 does.
+ *
+ * @param res - an answer that has begun
+ * @internal
+ */
+export function breakOff (res: ServerResponse): void {
+  res.socket?.resetAndDestroy()
+  res.destroy()
+}
+
 function describeFraming (req: IncomingMessage, response: IncomingMessage, prefix: BodyPrefix): OutgoingHttpHeaders {
   const declared = response.headers['content-length']
+  if (response.statusCode === 204) return {}
   // The length of an answer to HEAD describes the body that GET would have.
   if (isBodiless(req.method, response.statusCode)) return declared === undefined ? {} : { 'content-length': declared }
   if (prefix.complete) return { 'content-length': String(prefix.bytes.length) }
