Connect nodes to the platform, ctl and the demo; keep serving while a revision is fetched

Cause: the programs were not connected yet. The first demo over the whole path then refused 7 of 3,673 requests as unconfirmed: each new revision, also one that only changed the assignment, made a node refuse team traffic until the delta had arrived. Change: settings and clients of the platform, the control port, the paths of the admin port for lavenderturn-ctl, and the demo's platform steps. A node keeps serving with the last proof that its revision was the latest; the proof is not renewed until the later revision is held, so that the bound stays. Ruled out: freshness lost by slow polls; no node was without a proof. The demo still cut 5 requests while a node stopped; the cause is open.

--- a/apps/demo/src/Children.ts
+++ b/apps/demo/src/Children.ts
@@ -51,6 +51,21 @@
     })
   }
 
+  /**
+   * Starts a child and waits until it has ended by itself.
+   *
+   * @param name - its name in the demo
+   * @param command - program and arguments
+   * @returns its exit code, or null when a signal ended it
+   */
+  async run (name: string, [program, ...args]: readonly string[]): Promise<number | null> {
+    const child = spawn(program!, args, { stdio: ['ignore', 'inherit', 'inherit'] })
+    this.running.set(name, child)
+    const [code] = await once(child, 'exit') as [number | null]
+    this.running.delete(name)
+    return code
+  }
+
   /**
    * Asks a child to stop and waits until it has ended.
    *
--- a/apps/demo/src/DemoContext.ts
+++ b/apps/demo/src/DemoContext.ts
@@ -14,6 +14,8 @@
 export interface DemoPrograms {
   readonly node: readonly string[]
   readonly backend: readonly string[]
+  readonly platform: readonly string[]
+  readonly ctl: readonly string[]
 }
 
 /** What the steps of the demo share. @public */
--- a/apps/demo/src/PlatformSteps.ts
+++ b/apps/demo/src/PlatformSteps.ts
@@ -22,14 +22,3 @@
    */
   abstract apply (context: DemoContext): Promise<void>
 }
-
-/** Says that the steps are not there yet. @public */
-export class MissingPlatformSteps extends PlatformSteps {
-  override async start (): Promise<readonly string[]> {
-    throw new Error('the demo cannot start the platform yet')
-  }
-
-  override async apply (): Promise<void> {
-    throw new Error('the demo cannot apply a declaration yet')
-  }
-}
--- a/apps/demo/src/demo.test.ts
+++ b/apps/demo/src/demo.test.ts
@@ -1,11 +1,11 @@
 import { fileURLToPath } from 'node:url'
 import { describe, expect, it } from 'vitest'
-import type { DemoContext } from './DemoContext'
 import { createDemoState } from './DemoState'
 import { formatOutcomes } from './formatOutcomes'
-import { MissingPlatformSteps, PlatformSteps } from './PlatformSteps'
+import { PlatformSteps } from './PlatformSteps'
 import { reduceDemo } from './reduceDemo'
 import { runDemo } from './runDemo'
+import { StandinPlatformSteps } from './StandinPlatformSteps'
 
 const TIMEOUT_MS = 120_000
 
@@ -14,14 +14,15 @@
 }
 
 const programs = {
-  node: findSource('__fixtures__/documentNode.ts'),
-  backend: findSource('../../../standins/backend-server/src/main.ts')
+  node: findSource('../../node/src/main.ts'),
+  backend: findSource('../../../standins/backend-server/src/main.ts'),
+  platform: findSource('../../../standins/platform/src/main.ts'),
+  ctl: findSource('../../ctl/src/main.ts')
 }
 
-/** Tells the nodes of the fixture where the others are, instead of starting a platform. */
-class FixedDocumentSteps extends PlatformSteps {
-  override async start ({ nodes }: DemoContext): Promise<readonly string[]> {
-    return [nodes.map(({ adminAddress }) => adminAddress).join()]
+class FailingPlatformSteps extends PlatformSteps {
+  override async start (): Promise<readonly string[]> {
+    throw new Error('the platform does not start')
   }
 
   override async apply (): Promise<void> {}
@@ -31,7 +32,7 @@
   it('answers all requests, cuts none in a planned stop, and leaves no process behind', async () => {
     const lines: string[] = []
     const result = await runDemo({
-      programs, platform: new FixedDocumentSteps(), write: (line) => { lines.push(line) }
+      programs, platform: new StandinPlatformSteps(), write: (line) => { lines.push(line) }
     })
     expect(result.state.problems).toEqual([])
     expect(result.code).toBe(0)
@@ -41,9 +42,9 @@
   }, TIMEOUT_MS)
 
   it('ends with code 1 and without processes when a step fails', async () => {
-    const result = await runDemo({ programs, platform: new MissingPlatformSteps(), write: () => {} })
+    const result = await runDemo({ programs, platform: new FailingPlatformSteps(), write: () => {} })
     expect(result).toMatchObject({ code: 1, leftPids: [] })
-    expect(result.state.problems).toEqual(['startPlatform: the demo cannot start the platform yet'])
+    expect(result.state.problems).toEqual(['startPlatform: the platform does not start'])
   })
 
   it('stops everything when a child ends by itself', () => {
--- a/apps/demo/src/demoSteps.ts
+++ b/apps/demo/src/demoSteps.ts
@@ -115,8 +115,8 @@
   const expected = nodes.length * DEMO_ROUTES.length
   const known = await Promise.all(nodes.map(async ({ adminAddress }) => {
     const { body } = await request(`http://${adminAddress}/status`)
-    const { members } = await body.json() as { members: Array<{ status: string, endpoints: unknown[] }> }
-    return members.filter(({ status }) => status === 'alive').flatMap(({ endpoints }) => endpoints).length
+    const { members } = await body.json() as { members: Array<{ state: string, endpoints: unknown[] }> }
+    return members.filter(({ state }) => state === 'alive').flatMap(({ endpoints }) => endpoints).length
   }))
   return known.every((count) => count === expected)
 }
--- a/apps/demo/src/main.ts
+++ b/apps/demo/src/main.ts
@@ -1,6 +1,6 @@
 import { fileURLToPath } from 'node:url'
-import { MissingPlatformSteps } from './PlatformSteps'
 import { runDemo } from './runDemo'
+import { StandinPlatformSteps } from './StandinPlatformSteps'
 
 /**
  * @param name - a program of `dist`, where this one lies too
@@ -11,8 +11,13 @@
 }
 
 const { code } = await runDemo({
-  programs: { node: findProgram('lavenderturn-node'), backend: findProgram('standin-backend-server') },
-  platform: new MissingPlatformSteps(),
+  programs: {
+    node: findProgram('lavenderturn-node'),
+    backend: findProgram('standin-backend-server'),
+    platform: findProgram('standin-platform'),
+    ctl: findProgram('lavenderturn-ctl')
+  },
+  platform: new StandinPlatformSteps(),
   write: (line) => { process.stdout.write(`${line}\n`) }
 })
 // Requests and polls of a step that was broken off may still be open.
--- a/apps/node/src/openPort.ts
+++ b/apps/node/src/openPort.ts
@@ -15,7 +15,7 @@
  * @throws SettingError when the address cannot be used
  * @internal
  */
-export async function openPort (server: Server, name: PortSetting, settings: NodeSettings): Promise<Address> {
+export async function openPort (server: Pick<Server, 'address' | 'listen' | 'once'>, name: PortSetting, settings: NodeSettings): Promise<Address> {
   const { host, port } = splitAddress(settings[name])
   await new Promise<void>((resolve, reject) => {
     server.once('error', (err) => {
--- a/apps/node/src/startNode.ts
+++ b/apps/node/src/startNode.ts
@@ -1,4 +1,7 @@
-import { createLog, createNode, endpointPolicies, type Node, type NodeOptions, type NodeSettings } from '@lavenderturn/runtime'
+import {
+  connectPlatform, createLog, createNode, endpointPolicies, type Node, type NodeOptions, type NodeSettings,
+  type PlatformStores
+} from '@lavenderturn/runtime'
 import { randomInt } from 'node:crypto'
 import { createIdentity } from './createIdentity'
 import { openPort } from './openPort'
@@ -23,6 +26,7 @@
     identity,
     log,
     seed: settings.seed ?? randomInt(LARGEST_SEED),
+    platform: connectStores(settings),
     policies: { endpoint: endpointPolicies[settings.endpointPolicy]() },
     exit: (code) => { void node.runtime.stop().finally(() => { process.exit(code) }) },
     ...overrides
@@ -34,7 +38,22 @@
   }
   const callerAddress = await openPort(node.callerServer, 'callerAddress', settings)
   await openPort(node.forwardServer, 'forwardAddress', settings)
+  await openPort(node.controlServer, 'controlAddress', settings)
   const adminAddress = await openPort(node.adminServer, 'adminAddress', settings)
   log.info('node started', { callerAddress, forwardAddress: settings.forwardAddress, adminAddress })
+  node.start(settings.peers)
   return node
 }
+
+function connectStores (settings: NodeSettings): PlatformStores | undefined {
+  const { tableStore, objectStore, storeRegion, accessKeyId, secretAccessKey } = settings
+  if (tableStore === undefined || objectStore === undefined) return undefined
+  return connectPlatform({
+    tableEndpoint: tableStore.endpoint,
+    table: tableStore.name,
+    objectEndpoint: objectStore.endpoint,
+    bucket: objectStore.name,
+    region: storeRegion,
+    credentials: { accessKeyId, secretAccessKey }
+  })
+}
--- a/packages/decisions/src/control/ControlState.ts
+++ b/packages/decisions/src/control/ControlState.ts
@@ -85,6 +85,8 @@
   readonly startedAt: Millis
   /** The latest time at which the head is known to have shown no revision above `highestHeard`. */
   headReadAt: Millis
+  /** When the revision in force was last known to be the latest, from before a later one was heard of. */
+  heldProofAt: Millis
   /** The latest time for which heartbeats of data centres that hold a majority of the members are known. */
   majorityAt: Millis
   readonly heartbeats: Map<DataCentreId, Heartbeat>
@@ -130,6 +132,7 @@
     handOvers: new Set(),
     startedAt: now,
     headReadAt: NEVER,
+    heldProofAt: NEVER,
     majorityAt: NEVER,
     heartbeats: new Map(),
     pollerAnswers: new Map(),
--- a/packages/decisions/src/control/driveWrites.ts
+++ b/packages/decisions/src/control/driveWrites.ts
@@ -10,6 +10,7 @@
 import type { ControlChange, ControlWrite, WriteOutcome } from './ControlState'
 import { recordReply } from './hearFreshness'
 import { ACCEPTED_WRITES_KEPT, type HeadRow } from './HeadRow'
+import { raiseHighestHeard } from './hearRevision'
 import { INTENT_LIFETIME_MS, recordIntent } from './intents'
 import { holdMajority } from './majority'
 import { findPeer, pollerQuorum } from './pollers'
@@ -262,7 +263,7 @@
   const { control } = state
   const { revision } = write.next!
   close(state, write, 'accepted')
-  if (revision > control.highestHeard) control.highestHeard = revision
+  raiseHighestHeard(control, revision)
   if (revision > (control.head?.revision ?? 0)) control.head = write.next
   return [...adoptDeltas(state, [write.delta!]), ...answer(write, 'applied', revision)]
 }
--- a/packages/decisions/src/control/hearRevision.ts
+++ b/packages/decisions/src/control/hearRevision.ts
@@ -1,10 +1,12 @@
 import type { NodeId, Revision } from '@lavenderturn/types'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
+import type { ControlState } from './ControlState'
 import { startFetch } from './fetchRevision'
+import { freshSince } from './isFresh'
 
 /**
- * Learns that a revision exists. Until the node holds it, the node is not fresh.
+ * Learns that a revision exists. Until the node holds it, its proof of freshness is not renewed.
  *
  * @param state - the node's state
  * @param revision - a revision that was accepted
@@ -15,7 +17,7 @@
 export function hearRevision (state: NodeState, revision: Revision, teller?: NodeId): NodeEffect[] {
   const { control } = state
   if (revision > control.highestHeard) {
-    control.highestHeard = revision
+    raiseHighestHeard(control, revision)
     control.tellers.clear()
     closeIntents(state, revision)
   }
@@ -23,6 +25,21 @@
   return startFetch(state)
 }
 
+/**
+ * Raises the highest revision heard of. What was proven of the revision in force until now still counts: the later one
+ * was accepted after the proof, so that the bound on its spread is kept. Without it every change of the document or
+ * the assignment refused team traffic until the delta had been fetched.
+ *
+ * @param control - the slice's state
+ * @param revision - a revision that was accepted
+ * @internal
+ */
+export function raiseHighestHeard (control: ControlState, revision: Revision): void {
+  if (revision <= control.highestHeard) return
+  if (control.revision === control.highestHeard) control.heldProofAt = freshSince(control)
+  control.highestHeard = revision
+}
+
 /** The compare-and-set of an intent fails once the head shows its revision or a later one. */
 function closeIntents ({ control }: NodeState, revision: Revision): void {
   for (const intent of control.intents.values()) {
--- a/packages/decisions/src/control/isFresh.ts
+++ b/packages/decisions/src/control/isFresh.ts
@@ -1,5 +1,6 @@
 import { type Millis, millis } from '@lavenderturn/types'
 import type { NodeState } from '../NodeState'
+import type { ControlState } from './ControlState'
 
 /**
  * How long a node may serve team traffic after it was last sure of its revision. With 0.5 s for the spread of a
@@ -8,9 +9,9 @@
 export const FRESHNESS_BOUND = millis(2_500)
 
 /**
- * Tells whether the node may serve team traffic: it holds the highest revision that it has heard of, and within the
- * bound either the head was read (by itself, or by a peer whose answer carried the age of the read) or data centres
- * that hold a majority of the members were heard.
+ * Tells whether the node may serve team traffic: within the bound, either the head was read (by itself, or by a peer
+ * whose answer carried the age of the read) or data centres that hold a majority of the members were heard, and the
+ * revision in force was the latest then.
  *
  * @param state - the node's state
  * @returns whether the node may serve team traffic with its control document
@@ -27,8 +28,16 @@
  * @public
  */
 export function isFreshAt ({ control }: NodeState, at: Millis): boolean {
-  if (control.revision < control.highestHeard) return false
-  return freshnessAge(control, at) <= FRESHNESS_BOUND
+  return at - provenAt(control) <= FRESHNESS_BOUND
+}
+
+/**
+ * @param control - the slice's state
+ * @returns the latest time at which the revision in force was known to be the latest
+ * @public
+ */
+export function provenAt (control: ControlState): Millis {
+  return control.revision < control.highestHeard ? control.heldProofAt : freshSince(control)
 }
 
 /**
--- a/packages/decisions/src/health/permitOwner.ts
+++ b/packages/decisions/src/health/permitOwner.ts
@@ -1,6 +1,6 @@
 import { addMillis, type Millis, millis, type ServiceId } from '@lavenderturn/types'
 import { type AssignmentEntry, listDomains, partitionOf } from '../control/Assignment'
-import { freshSince, isFresh } from '../control/isFresh'
+import { isFresh, provenAt } from '../control/isFresh'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { countCapacity, findWorkingSlots } from './countCapacity'
@@ -48,7 +48,7 @@
  * owner was last fresh, and no permit lasts longer than `PERMIT_LIFETIME` from then.
  */
 function limitLifetime (state: NodeState): Millis {
-  return millis(Math.min(PERMIT_LIFETIME, freshSince(state.control) + PERMIT_LIFETIME - state.now))
+  return millis(Math.min(PERMIT_LIFETIME, provenAt(state.control) + PERMIT_LIFETIME - state.now))
 }
 
 function mayGivePermits (state: NodeState, service: ServiceId): boolean {
--- /dev/null
+++ b/packages/runtime/src/admin/TeamUsage.ts
@@ -0,0 +1,44 @@
+import type { NodeEvent, OutwardEffect } from '@lavenderturn/decisions'
+import type { TeamId } from '@lavenderturn/types'
+import { StepObserver } from '../Runtime'
+
+/** Length of the window over which requests are counted. */
+const WINDOW_MS = 10_000
+
+const MS_PER_SECOND = 1_000
+
+/** Counts the requests that each team got admitted at this gateway. @public */
+export class TeamUsage extends StepObserver {
+  private counts = new Map<TeamId, number>()
+  private lastCounts = new Map<TeamId, number>()
+  private windowStart = 0
+
+  /** {@inheritDoc StepObserver.observe} */
+  override observe (event: NodeEvent, effects: readonly OutwardEffect[]): void {
+    if (event.at - this.windowStart >= WINDOW_MS) {
+      this.lastCounts = event.at - this.windowStart < 2 * WINDOW_MS ? this.counts : new Map()
+      this.counts = new Map()
+      this.windowStart = event.at
+    }
+    if (event.slice !== 'gateway') return
+    // Retries come from other events than the arrival and the charge, and are not counted again.
+    if (event.type !== 'requestArrived' && event.type !== 'charged') return
+    for (const effect of effects) {
+      if (effect.slice !== 'gateway' || effect.type !== 'forward' || effect.team === undefined) continue
+      this.counts.set(effect.team, (this.counts.get(effect.team) ?? 0) + 1)
+    }
+  }
+
+  /**
+   * @param team - a team
+   * @returns requests a second over the last full window
+   */
+  usedPerSecond (team: TeamId): number {
+    return (this.lastCounts.get(team) ?? 0) * MS_PER_SECOND / WINDOW_MS
+  }
+
+  /** @returns teams with requests in the last full window or the present one */
+  listTeams (): TeamId[] {
+    return [...new Set([...this.lastCounts.keys(), ...this.counts.keys()])]
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/admin/collectRevisions.ts
@@ -0,0 +1,41 @@
+import { createClient } from '@connectrpc/connect'
+import type { Address, NodeId } from '@lavenderturn/types'
+import { ControlService } from '@lavenderturn/wire'
+import type { PeerTransports } from '../peers/PeerTransports'
+
+/** A member that takes longer is shown without a revision. */
+const CALL_TIMEOUT_MS = 1_000
+
+/** Members asked at once, so that a status of 2,600 members does not open as many connections together. */
+const CONCURRENCY = 64
+
+/** A member and where it answers calls. @internal */
+export interface AskedMember {
+  readonly nodeId: NodeId
+  readonly controlAddress: Address
+}
+
+/**
+ * Asks members for the revision of the declaration that they have in force.
+ *
+ * @param transports - connections to other nodes
+ * @param members - the members to ask
+ * @returns the revision of each member that answered
+ * @internal
+ */
+export async function collectRevisions (
+  transports: PeerTransports,
+  members: readonly AskedMember[]
+): Promise<Map<NodeId, number>> {
+  const revisions = new Map<NodeId, number>()
+  const waiting = [...members]
+  const worker = async (): Promise<void> => {
+    for (let member = waiting.pop(); member !== undefined; member = waiting.pop()) {
+      const client = createClient(ControlService, transports.get(member.controlAddress))
+      const status = await client.status({}, { timeoutMs: CALL_TIMEOUT_MS }).catch(() => undefined)
+      if (status !== undefined) revisions.set(member.nodeId, Number(status.declarationRevision))
+    }
+  }
+  await Promise.all(Array.from({ length: CONCURRENCY }, worker))
+  return revisions
+}
--- a/packages/runtime/src/admin/createAdminServer.ts
+++ b/packages/runtime/src/admin/createAdminServer.ts
@@ -1,15 +1,22 @@
+import { listPeers } from '@lavenderturn/decisions'
 import { toId } from '@lavenderturn/types'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { setImmediate } from 'node:timers/promises'
+import type { ControlHandler } from '../control/ControlHandler'
 import type { Journal } from '../journal/Journal'
 import type { JournalPage } from '../journal/JournalRecord'
 import type { LifecycleHandler } from '../lifecycle/LifecycleHandler'
 import type { Metrics } from '../metrics/Metrics'
+import type { PeerTransports } from '../peers/PeerTransports'
 import { readPrefix } from '../readPrefix'
 import type { Runtime } from '../Runtime'
 import { sendProblem } from '../sendProblem'
 import { announcementSchema } from './announcementSchema'
+import { parseJson, type Route, sendJson } from './adminRoute'
+import { collectRevisions } from './collectRevisions'
+import { createDeclarationRoutes } from './createDeclarationRoutes'
 import { describeStatus } from './describeStatus'
+import type { TeamUsage } from './TeamUsage'
 
 /** An announcement has about 150 bytes. */
 const ANNOUNCEMENT_LIMIT_BYTES = 4_096
@@ -23,10 +30,11 @@
   readonly lifecycle: LifecycleHandler
   readonly journal: Journal
   readonly metrics: Metrics
+  readonly usage: TeamUsage
+  readonly control: ControlHandler
+  readonly peers: PeerTransports
 }
 
-type Route = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>
-
 /**
  * Creates the server of the admin port. It has no authentication and listens on loopback only.
  *
@@ -48,7 +56,8 @@
   })
 }
 
-function createRoutes ({ runtime, lifecycle, journal, metrics }: AdminServerOptions): ReadonlyMap<string, Route> {
+function createRoutes (options: AdminServerOptions): ReadonlyMap<string, Route> {
+  const { runtime, lifecycle, journal, metrics } = options
   return new Map<string, Route>([
     ['GET /livez', (_, res) => { sendText(res, 200, 'alive') }],
     ['GET /readyz', (_, res) => {
@@ -63,11 +72,20 @@
       const after = Number(new URL(req.url!, 'http://admin').searchParams.get('after') ?? -1)
       await sendPage(res, journal.read(Number.isInteger(after) ? after : -1))
     }],
-    ['GET /status', (_, res) => { sendJson(res, runtime.query(describeStatus)) }],
+    ['GET /status', async (_, res) => { sendJson(res, await readStatus(options)) }],
+    ...createDeclarationRoutes(options),
     ['POST /announce', async (req, res) => { await receiveAnnouncement(runtime, req, res) }]
   ])
 }
 
+async function readStatus ({ runtime, usage, peers }: AdminServerOptions): Promise<object> {
+  const status = runtime.query((state) => describeStatus(state, usage))
+  const others = runtime.query(listPeers).map(({ record }) => record)
+  const revisions = await collectRevisions(peers, others)
+  revisions.set(status.node, status.revision)
+  return { ...status, members: status.members.map((member) => ({ ...member, revision: revisions.get(member.node) })) }
+}
+
 async function receiveAnnouncement (runtime: Runtime, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const { bytes, complete } = await readPrefix({ body: req, limitBytes: ANNOUNCEMENT_LIMIT_BYTES })
   const parsed = announcementSchema.safeParse(complete ? parseJson(bytes) : undefined)
@@ -89,14 +107,6 @@
   res.writeHead(204).end()
 }
 
-function parseJson (bytes: Buffer): unknown {
-  try {
-    return JSON.parse(bytes.toString('utf8'))
-  } catch {
-    return undefined
-  }
-}
-
 function sendText (res: ServerResponse, status: number, text: string): void {
   res.writeHead(status, { 'content-type': 'text/plain' }).end(`${text}\n`)
 }
@@ -112,7 +122,3 @@
   }
   res.end(']}')
 }
-
-function sendJson (res: ServerResponse, value: unknown): void {
-  res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
-}
--- a/packages/runtime/src/admin/describeStatus.ts
+++ b/packages/runtime/src/admin/describeStatus.ts
@@ -1,44 +1,72 @@
-import { describeLoad, freshSince, type NodeState } from '@lavenderturn/decisions'
-import type { TeamId } from '@lavenderturn/types'
+import { describeLoad, findLoad, isFresh, type NodeState, provenAt } from '@lavenderturn/decisions'
+import type { TeamUsage } from './TeamUsage'
 
 /** JSON of `/status`. @public */
 export type NodeStatus = ReturnType<typeof describeStatus>
 
 /**
- * Describes a node for people and tests.
+ * Describes a node, and what it knows of the fleet, for people and tests.
  *
  * @param state - the node's state
+ * @param usage - requests of each team at this gateway
  * @returns plain data
  * @internal
  */
-export function describeStatus (state: Readonly<NodeState>) {
-  const { identity, control, lifecycle, membership, gateway, admission } = state
+export function describeStatus (state: Readonly<NodeState>, usage: TeamUsage) {
+  const { identity, control, lifecycle, gateway } = state
   return {
-    node: identity,
+    node: identity.nodeId,
+    dataCentre: identity.dataCentre,
+    region: identity.region,
     phase: lifecycle.phase,
-    revision: control.document?.revision ?? null,
-    freshAgeMs: state.now - freshSince(control),
-    members: [...membership.members.values()].map(({ record, status }) => ({
-      node: record.nodeId, status, dataCentre: record.dataCentre, region: record.region, endpoints: record.endpoints
-    })),
-    backendServers: [...admission.servers.values()].map((server) => ({
-      endpoint: server.endpoint,
-      service: server.service,
-      state: server.state,
-      bootId: server.bootId,
-      ...describeLoad(state, server.endpoint)
-    })),
-    endpointsInUse: Object.fromEntries(state.health.loads),
+    revision: control.document?.revision ?? 0,
+    controlRevision: control.revision,
+    fresh: isFresh(state),
+    freshAgeMs: state.now - provenAt(control),
+    members: describeMembers(state),
+    endpoints: describeEndpoints(state),
+    backendServers: describeBackendServers(state),
     requestsInFlight: gateway.requests.size,
-    teams: countByTeam(state)
+    teams: usage.listTeams().map((id) => ({
+      id,
+      ratePerSecond: control.document?.findTeam(id)?.ratePerSecond ?? 0,
+      usedPerSecond: usage.usedPerSecond(id)
+    }))
   }
 }
 
-/** Requests in flight at this gateway, by team. */
-function countByTeam ({ gateway }: Readonly<NodeState>): Readonly<Record<TeamId, number>> {
-  const counts: Record<TeamId, number> = {}
-  for (const { team } of gateway.requests.values()) {
-    if (team !== undefined) counts[team] = (counts[team] ?? 0) + 1
-  }
-  return counts
+function describeMembers ({ membership }: Readonly<NodeState>) {
+  return [...membership.members.values()].map(({ record, status }) => ({
+    node: record.nodeId,
+    state: status,
+    dataCentre: record.dataCentre,
+    region: record.region,
+    endpoints: record.endpoints
+  }))
+}
+
+/** Endpoints as this gateway sees them; the verdict comes from the admission beside the backend server. */
+function describeEndpoints (state: Readonly<NodeState>) {
+  return [...state.membership.directory.values()].flatMap((entries) => [...entries.values()])
+    .map(({ endpoint, member }) => {
+      const load = findLoad(state, endpoint.id)
+      return {
+        id: endpoint.id,
+        service: endpoint.service,
+        node: member.record.nodeId,
+        state: endpoint.state,
+        verdict: load?.verdict ?? 'unknown',
+        reason: load === undefined ? 'no traffic from this gateway in the last 10 s' : undefined
+      }
+    })
+}
+
+function describeBackendServers (state: Readonly<NodeState>) {
+  return [...state.admission.servers.values()].map((server) => ({
+    endpoint: server.endpoint,
+    service: server.service,
+    state: server.state,
+    bootId: server.bootId,
+    ...describeLoad(state, server.endpoint)
+  }))
 }
--- a/packages/runtime/src/control/ControlHandler.ts
+++ b/packages/runtime/src/control/ControlHandler.ts
@@ -1,9 +1,10 @@
 import { type Client, createClient } from '@connectrpc/connect'
+import type { Declaration } from '@lavenderturn/declaration'
 import type {
-  AskConfirm, AskIntent, AskPrepare, ControlEffect, EventBody, FetchDeltas, FetchSnapshot, OutwardEffect, Peer,
-  PushNotice, WriteOutcome
+  AnswerApply, AskConfirm, AskIntent, AskPrepare, ControlEffect, EventBody, FetchDeltas, FetchSnapshot,
+  OutwardEffect, Peer, PushNotice, WriteOutcome
 } from '@lavenderturn/decisions'
-import { type FetchId, toId } from '@lavenderturn/types'
+import { type CallId, type FetchId, type Revision, toId } from '@lavenderturn/types'
 import {
   ControlService, decodeControlDelta, decodeControlSnapshot, decodeFreshness, WriteOutcome as WireOutcome
 } from '@lavenderturn/wire'
@@ -38,6 +39,34 @@
     this.transports = transports
   }
 
+  /**
+   * Puts an event that opens a call to the reducer and waits for its answer.
+   *
+   * @param type - the effect that answers
+   * @param event - makes the event
+   * @returns the answer
+   */
+  async open<Type extends ControlEffect['type']> (
+    type: Type, event: (callId: CallId) => EventBody
+  ): Promise<Extract<ControlEffect, { type: Type }>> {
+    const answer = await this.calls.open((callId) => { this.runtime.tell(event(callId)) })
+    if (answer.type !== type) throw new Error(`${answer.type} answered a call that waits for ${type}`)
+    return answer as Extract<ControlEffect, { type: Type }>
+  }
+
+  /**
+   * Asks the reducer to have a declaration accepted.
+   *
+   * @param base - revision that the declaration follows
+   * @param declaration - the checked declaration
+   * @returns the result
+   */
+  async apply (base: Revision, declaration: Declaration): Promise<AnswerApply> {
+    return await this.open('answerApply', (callId) => ({
+      slice: 'control', type: 'applyAsked', callId, base, declaration
+    }))
+  }
+
   override run (effect: OutwardEffect): void {
     if (effect.slice !== 'control') return
     if ('callId' in effect) this.calls.answer(effect.callId, effect)
--- a/packages/runtime/src/control/addControlRoutes.ts
+++ b/packages/runtime/src/control/addControlRoutes.ts
@@ -1,6 +1,6 @@
 import { type Declaration, decodeDeclaration } from '@lavenderturn/declaration'
-import type { ControlEffect, EventBody, WriteOutcome } from '@lavenderturn/decisions'
-import { type CallId, resultCodes, toId } from '@lavenderturn/types'
+import type { WriteOutcome } from '@lavenderturn/decisions'
+import { resultCodes, toId } from '@lavenderturn/types'
 import {
   type ApplyRequest, ControlService, encodeControlDelta, encodeControlSnapshot, encodeFreshness,
   WriteOutcome as WireOutcome
@@ -16,15 +16,7 @@
  * @public
  */
 export function addControlRoutes (handler: ControlHandler): AddRoutes {
-  const { runtime, calls } = handler
-
-  async function open<Type extends ControlEffect['type']> (
-    type: Type, event: (callId: CallId) => EventBody
-  ): Promise<Extract<ControlEffect, { type: Type }>> {
-    const answer = await calls.open((callId) => { runtime.tell(event(callId)) })
-    if (answer.type !== type) throw new Error(`${answer.type} answered a call that waits for ${type}`)
-    return answer as Extract<ControlEffect, { type: Type }>
-  }
+  const { runtime } = handler
 
   return (router) => router.service(ControlService, {
     notify: ({ from, revision }) => {
@@ -32,25 +24,25 @@
       return {}
     },
     confirm: async () => {
-      const { report, vouches } = await open('answerConfirm', (callId) => ({
+      const { report, vouches } = await handler.open('answerConfirm', (callId) => ({
         slice: 'control', type: 'confirmAsked', callId
       }))
       return { report: encodeFreshness(report), vouches }
     },
     fetchDelta: async ({ since }) => {
-      const { revision, deltas } = await open('answerDeltas', (callId) => ({
+      const { revision, deltas } = await handler.open('answerDeltas', (callId) => ({
         slice: 'control', type: 'deltasAsked', callId, since: toId(Number(since))
       }))
       return { revision: BigInt(revision), deltas: deltas.map(encodeControlDelta) }
     },
     fetchSnapshot: async () => {
-      const { snapshot } = await open('answerSnapshot', (callId) => ({
+      const { snapshot } = await handler.open('answerSnapshot', (callId) => ({
         slice: 'control', type: 'snapshotAsked', callId
       }))
       return { snapshot: snapshot && encodeControlSnapshot(snapshot) }
     },
     prepare: async ({ token, revision, writer }) => {
-      await open('answerPrepare', (callId) => ({
+      await handler.open('answerPrepare', (callId) => ({
         slice: 'control',
         type: 'prepareAsked',
         callId,
@@ -61,7 +53,7 @@
       return {}
     },
     fetchOutcome: async ({ token }) => {
-      const { outcome } = await open('answerIntent', (callId) => ({
+      const { outcome } = await handler.open('answerIntent', (callId) => ({
         slice: 'control', type: 'intentAsked', callId, token: toId(token)
       }))
       return { outcome: encodeOutcome(outcome) }
@@ -71,14 +63,12 @@
       if (declaration instanceof Error) {
         return { code: resultCodes.invalidDeclaration.code, detail: declaration.message }
       }
-      const { result, revision } = await open('answerApply', (callId) => ({
-        slice: 'control', type: 'applyAsked', callId, base: toId(Number(request.base)), declaration
-      }))
+      const { result, revision } = await handler.apply(toId(Number(request.base)), declaration)
       if (result === 'applied') return { revision: BigInt(revision) }
       return { code: resultCodes[result].code, revision: BigInt(revision), detail: resultCodes[result].title }
     },
     status: async () => {
-      const { status } = await open('answerStatus', (callId) => ({ slice: 'control', type: 'statusAsked', callId }))
+      const { status } = await handler.open('answerStatus', (callId) => ({ slice: 'control', type: 'statusAsked', callId }))
       return {
         ...status,
         revision: BigInt(status.revision),
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http'
 import type { Http2Server } from 'node:http2'
 import { createAdminServer } from './admin/createAdminServer'
+import { TeamUsage } from './admin/TeamUsage'
 import { AdmissionHandler, type AdmissionHandlerOptions } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
 import { type Clock, ProcessClock } from './Clock'
@@ -81,10 +82,11 @@
   const hybridClock = new HybridClock()
   const journal = new Journal({ identity, clock: hybridClock })
   const metrics = new Metrics()
+  const usage = new TeamUsage()
   const runtime = new Runtime({
     state: createNodeState({ identity, seed, policies, now: clock.now() }),
     clock,
-    observers: [journal, metrics, ...observers]
+    observers: [journal, metrics, usage, ...observers]
   })
   const counter = new ExchangeCounter()
   const gateway = new GatewayHandler(runtime, { clock: hybridClock, progress: pathProgress })
@@ -119,7 +121,7 @@
       createMembershipRoutes({ runtime, handler: membership }),
       addControlRoutes(control)
     ]),
-    adminServer: createAdminServer({ runtime, lifecycle, journal, metrics }),
+    adminServer: createAdminServer({ runtime, lifecycle, journal, metrics, usage, control, peers }),
     lifecycle,
     journal,
     hybridClock,
--- a/packages/runtime/src/settings/nodeSettings.ts
+++ b/packages/runtime/src/settings/nodeSettings.ts
@@ -1,7 +1,7 @@
 import { type DataCentreId, type NodeId, type RegionId, toId } from '@lavenderturn/types'
 import { endpointPolicies } from './endpointPolicies'
 import {
-  addressList, httpUrl, listenAddress, loopbackAddress, oneOf, plainId, seed, sharedAddress, wholeMillis
+  addressList, anyText, listenAddress, loopbackAddress, oneOf, plainId, seed, sharedAddress, storeUrl, wholeMillis
 } from './schemas'
 import { defineSettings, type SettingValues } from './SettingEntry'
 
@@ -64,16 +64,37 @@
   tableStore: {
     flag: 'table-store',
     env: 'LAVENDERTURN_TABLE_STORE',
-    description: 'URL of the table service; without one the node learns everything from its peers',
+    description: 'URL of the table service, with the table as path; without one the node learns all from its peers',
     optional: true,
-    schema: httpUrl
+    schema: storeUrl
   },
   objectStore: {
     flag: 'object-store',
     env: 'LAVENDERTURN_OBJECT_STORE',
     description: 'URL of the object store, with the bucket as path',
     optional: true,
-    schema: httpUrl
+    schema: storeUrl
+  },
+  accessKeyId: {
+    flag: 'access-key-id',
+    env: 'LAVENDERTURN_ACCESS_KEY_ID',
+    description: 'Id of the access key for table service and object store',
+    default: '',
+    schema: anyText
+  },
+  secretAccessKey: {
+    flag: 'secret-access-key',
+    env: 'LAVENDERTURN_SECRET_ACCESS_KEY',
+    description: 'Secret of the access key; better set in the environment, where other users cannot list it',
+    default: '',
+    schema: anyText
+  },
+  storeRegion: {
+    flag: 'store-region',
+    env: 'LAVENDERTURN_STORE_REGION',
+    description: 'Region for which calls of the platform are signed',
+    default: 'us-east-1',
+    schema: plainId
   },
   endpointPolicy: {
     flag: 'endpoint-policy',
--- a/packages/runtime/src/settings/schemas.ts
+++ b/packages/runtime/src/settings/schemas.ts
@@ -40,10 +40,22 @@
 /** A seed of a random generator. */
 export const seed = z.string().regex(/^\d{1,9}$/, 'expected a whole number').transform(Number)
 
-/** An HTTP URL. */
-export const httpUrl = z.string().refine((text) => {
-  return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol)
-}, 'expected an http or https URL')
+/** The service and the table or bucket of a store. */
+export interface StoreLocation {
+  readonly endpoint: string
+  readonly name: string
+}
+
+/** An HTTP URL whose path is the name of a table or bucket. */
+export const storeUrl = z.string().refine((text) => {
+  return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol) && /^\/[\w.-]+$/.test(new URL(text).pathname)
+}, 'expected an http or https URL with one name as path').transform((text): StoreLocation => {
+  const { origin, pathname } = new URL(text)
+  return { endpoint: origin, name: pathname.slice(1) }
+})
+
+/** Any text. */
+export const anyText = z.string()
 
 /** `true` or `false`. */
 export const switchText = z.string().refine((text) => text === 'true' || text === 'false', 'expected true or false')
