--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -4,6 +4,7 @@
 import { assertFloor } from './assertFloor'
 import { assertFreshService } from './assertFreshService'
 import { assertHeadWriteProven } from './assertHeadWriteProven'
+import { assertOwnersRise } from './assertOwnersRise'
 import { assertRevisionRises } from './assertRevisionRises'
 import { assertSlotsRespected } from './assertSlotsRespected'
 import { assertTakesNewWork } from './assertTakesNewWork'
@@ -32,5 +33,8 @@
       if (effect.team !== undefined) assertFreshService(state)
     }
   }
-  if (event.slice === 'control') assertRevisionRises(state)
+  if (event.slice === 'control') {
+    assertOwnersRise(state, event)
+    assertRevisionRises(state)
+  }
 }
