--- a/packages/decisions/src/admission/AdmissionState.ts
+++ b/packages/decisions/src/admission/AdmissionState.ts
@@ -12,6 +12,8 @@
   address: Address
   slots: number
   bootId: BootId
+  /** Whether the server came back after it died and its boot id is not known yet; `bootId` is made up until then. */
+  bootUnsure: boolean
   state: 'serving' | 'draining'
   /** Whether the latest connection was accepted. */
   reachable: boolean
--- a/packages/decisions/src/admission/announceServer.ts
+++ b/packages/decisions/src/admission/announceServer.ts
@@ -23,11 +23,13 @@
   if (known === undefined) return addServer(state, event)
   const changed = known.state !== event.state || known.bootId !== event.bootId
   const effects: NodeEffect[] = changed ? [logServer(event, `backend server ${event.state}`)] : []
-  if (known.bootId !== event.bootId) effects.push(...confirmCrash(state, known))
-  const cold = known.bootId !== event.bootId || known.state !== event.state || !known.reachable
+  const rebooted = known.bootId !== event.bootId && !known.bootUnsure
+  if (rebooted) effects.push(...confirmCrash(state, known))
+  const cold = rebooted || known.state !== event.state || !known.reachable
   known.address = event.address
   known.slots = event.slots
   known.bootId = event.bootId
+  known.bootUnsure = false
   known.state = event.state
   known.limit.limit = Math.min(known.limit.limit, event.slots)
   if (event.state === 'draining') return effects.concat(rejectQueue(state, known, 'draining'))
@@ -42,6 +44,7 @@
     address: event.address,
     slots: event.slots,
     bootId: event.bootId,
+    bootUnsure: false,
     state: event.state,
     reachable: true,
     probeAt: event.at,
--- a/packages/decisions/src/admission/endWork.ts
+++ b/packages/decisions/src/admission/endWork.ts
@@ -1,3 +1,4 @@
+import { toId } from '@lavenderturn/types'
 import { observeEnd } from '../health/observeEnd'
 import { findReference } from '../health/ServiceReference'
 import type { NodeEffect } from '../NodeEffect'
@@ -40,9 +41,12 @@
 
 function noticeBoot (state: NodeState, server: LocalServer, outcome: WorkOutcome): NodeEffect[] {
   if (outcome.kind !== 'answered' || outcome.bootId === undefined || outcome.bootId === server.bootId) return []
-  const effects = confirmCrash(state, server)
+  const { bootUnsure } = server
+  const effects = bootUnsure ? [] : confirmCrash(state, server)
   server.bootId = outcome.bootId
-  return effects.concat(restartServer(state, server))
+  server.bootUnsure = false
+  // A server that came back after it died has been treated as cold already.
+  return bootUnsure ? effects : effects.concat(restartServer(state, server))
 }
 
 function handleFailure (
@@ -80,6 +84,8 @@
   if (!accepted) return loseServer(state, server)
   const { effects } = failBroken(state, server, false)
   if (server.reachable) return effects
+  server.bootId = toId(`${server.bootId}+`)
+  server.bootUnsure = true
   return effects.concat(restartServer(state, server), startQueued(state, server))
 }
 
--- /dev/null
+++ b/packages/decisions/src/health/ejection.test.ts
@@ -0,0 +1,106 @@
+import {
+  assignOwner, ErrorFault, fleetIds, makeAnnouncement, makeFleet, makeFleetDocument, makeMember, makeState, makeWork,
+  runSession, type SessionEvent, SlowFault
+} from '@lavenderturn/fixtures'
+import { millis, toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import { isAvoided, listCandidates } from './listCandidates'
+
+function fail (at: number, attempt: string): SessionEvent[] {
+  return [
+    [at, makeWork(attempt)],
+    [at + 5, {
+      slice: 'admission', type: 'workEnded', attemptId: toId(attempt), outcome: { kind: 'answered', status: 500 }
+    }]
+  ]
+}
+
+const tick = { slice: 'health', type: 'ticked' } as const
+
+describe('the ejection of a sick backend server', () => {
+  // Guards against: a change of the ejection and of the return that nobody intended.
+  it('handles a session of ejection, failed trial, trial and return by the floor', async () => {
+    const state = makeState()
+    runSession(state, [[0, { slice: 'control', type: 'documentAccepted', document: makeFleetDocument({}) }]])
+    assignOwner({ state, timers: new Map(), reachable: true }, 0)
+    runSession(state, [[0, {
+      slice: 'membership',
+      type: 'memberLearned',
+      status: 'alive',
+      record: makeMember({ nodeId: fleetIds(0).node, endpoints: [] })
+    }]])
+    const answer = (at: number, askedAt: number, denied = false): SessionEvent => [at, {
+      slice: 'health',
+      type: 'permitAnswered',
+      endpoint: toId('endpoint-a'),
+      askedAt: millis(askedAt),
+      answer: denied ? { kind: 'denied', reason: 'floor' } : { kind: 'granted', lifetime: millis(5_000) }
+    }]
+    const session = runSession(state, [
+      [0, makeAnnouncement()],
+      ...[1, 2, 3, 4, 5].flatMap((index) => fail(100 * index, `bad${index}`)),
+      answer(510, 505),
+      [520, makeWork('refused')],
+      [2_600, tick],
+      ...fail(2_700, 'trial1'),
+      ...fail(2_800, 'trial2'),
+      [3_100, tick],
+      answer(3_110, 3_100),
+      [5_700, tick],
+      answer(5_710, 5_700),
+      [6_900, tick],
+      [6_950, makeWork('trial3')],
+      [6_951, makeWork('busy')],
+      [8_300, tick],
+      answer(8_310, 8_300, true),
+      [8_320, makeWork('served')]
+    ])
+    await expect(session).toMatchFileSnapshot('__golden__/ejection.txt')
+  })
+
+  // Guards against: an ejection that nobody coordinates.
+  it('ejects nothing without an owner, and the endpoint policy moves the traffic away', () => {
+    const fleet = makeFleet({ owned: false })
+    fleet.backends.get(fleetIds(3).endpoint)!.fault = new SlowFault()
+    fleet.offer({ team: toId('fes'), ratePerSecond: 200, until: millis(30_000) })
+    fleet.runUntil(36_000)
+    expect(fleet.logs.filter(({ message }) => message === 'backend server ejected')).toEqual([])
+    const late = fleet.results.filter(({ arrivedAt }) => arrivedAt > 12_000)
+    const slow = late.filter(({ arrivedAt, endedAt }) => endedAt - arrivedAt > 200)
+    expect(slow.length / late.length).toBeLessThan(0.02)
+  })
+
+  // Guards against: an endpoint that stays out for ever because no gateway has traffic that would tell of its return.
+  it('lets an endpoint return that has recovered, also at gateways with little traffic', () => {
+    const fleet = makeFleet({ size: 12 })
+    fleet.offer({ team: toId('fes'), ratePerSecond: 60, until: millis(120_000) })
+    fleet.runUntil(10_000)
+    const backend = fleet.backends.get(fleetIds(3).endpoint)!
+    backend.fault = new ErrorFault(1)
+    fleet.runUntil(25_000)
+    backend.fault = undefined
+    const { served } = backend
+    fleet.runUntil(110_000)
+    expect(fleet.logs.map(({ message }) => message)).toContain('backend server ejected')
+    expect(fleet.nodes.get(fleetIds(3).node)!.state.health.local.get(fleetIds(3).endpoint)!.phase).toBe('serving')
+    // An equal share of the last 30 s is 150 requests.
+    expect(backend.served - served).toBeGreaterThan(100)
+  })
+})
+
+describe('a sick path', () => {
+  // Guards against: a dead node that costs each request a failure, and avoidance that leaves too few endpoints.
+  it('is avoided at once, but only as far as the floor allows in the gateway\'s own view', () => {
+    const fleet = makeFleet({ size: 6, floor: 0.8 })
+    const gateway = fleet.nodes.get(fleetIds(0).node)!.state
+    for (const index of [4, 5]) fleet.nodes.get(fleetIds(index).node)!.reachable = false
+    fleet.offer({ team: toId('fes'), ratePerSecond: 200, until: millis(3_000) })
+    fleet.runUntil(3_000)
+    const candidates = listCandidates(gateway, toId('stock'), new Set())
+    // ceil(0.8 × 24) = 20 slots are needed: the 4 reachable endpoints have 16.
+    expect(candidates).toHaveLength(5)
+    expect(candidates.filter((entry) => isAvoided(gateway, entry))).toHaveLength(1)
+    const failed = fleet.results.filter(({ result }) => result !== 'answered')
+    expect(failed).toEqual([])
+  })
+})
--- a/packages/decisions/src/quarantine/markCrash.ts
+++ b/packages/decisions/src/quarantine/markCrash.ts
@@ -87,21 +87,23 @@
 
 function openMark (state: NodeState, fingerprint: Fingerprint, crashedAt: Millis): CrashMark {
   const { marks } = state.quarantine
-  const mark = marks.get(fingerprint) ?? { crashes: new Set(), cleared: new Set(), lastCrashAt: crashedAt }
-  mark.lastCrashAt = millis(Math.max(mark.lastCrashAt, crashedAt))
+  const known = marks.get(fingerprint)
+  // The order of the table is that of the latest crashes; hearing of a known one does not change it.
+  if (known !== undefined && crashedAt <= known.lastCrashAt) return known
+  const mark = known ?? { crashes: new Set(), cleared: new Set(), lastCrashAt: crashedAt }
+  mark.lastCrashAt = crashedAt
   marks.delete(fingerprint)
   marks.set(fingerprint, mark)
   if (marks.size > MAX_MARKS) evictMark(state)
   return mark
 }
 
-/** Evicts expired marks, or else the oldest one, a quarantined one last. */
-function evictMark (state: NodeState): void {
-  const { marks } = state.quarantine
-  for (const [fingerprint, { lastCrashAt }] of marks) {
-    if (state.now - lastCrashAt >= QUARANTINE_TIME) marks.delete(fingerprint)
+/** Evicts the oldest mark; a quarantined one only when all are. */
+function evictMark ({ quarantine: { marks }, now }: NodeState): void {
+  for (const [fingerprint, { quarantinedUntil = now }] of marks) {
+    if (now < quarantinedUntil) continue
+    marks.delete(fingerprint)
+    return
   }
-  if (marks.size <= MAX_MARKS) return
-  const free = [...marks].find(([, { quarantinedUntil }]) => quarantinedUntil === undefined)
-  marks.delete(free === undefined ? marks.keys().next().value! : free[0])
+  marks.delete(marks.keys().next().value!)
 }
--- a/packages/runtime/src/loadHeader.ts
+++ b/packages/runtime/src/loadHeader.ts
@@ -60,8 +60,9 @@
  * @returns the view, or undefined when the header is absent or malformed
  */
 export function parseReference (value: string | undefined): ServiceReference | undefined {
-  const [serviceMs, errorRate] = (value ?? '').split(',').map(parseOptional)
-  if (serviceMs === undefined || errorRate === undefined) return undefined
+  const fields = (value ?? '').split(',')
+  const [serviceMs, errorRate] = fields.map(parseOptional)
+  if (fields.length !== 2 || serviceMs === undefined || errorRate === undefined) return undefined
   return Number.isFinite(serviceMs) && Number.isFinite(errorRate) ? { serviceMs, errorRate } : undefined
 }
 
