--- a/packages/decisions/src/admission/AdmissionState.ts
+++ b/packages/decisions/src/admission/AdmissionState.ts
@@ -13,6 +13,8 @@
   address: Address
   slots: number
   bootId: BootId
+  /** Whether the server came back after it died and its boot id is not known yet; `bootId` is made up until then. */
+  bootUnsure: boolean
   state: 'serving' | 'draining'
   /** Whether the latest connection was accepted. */
   reachable: boolean
@@ -20,6 +22,8 @@
   probeAt: Millis
   /** When this life of the backend server began, as far as its admission knows. */
   startedAt: Millis
+  /** Whether its service times are those of a server that has warmed up since its start. */
+  warm: boolean
   inFlight: number
   /** Work that waits for a slot. */
   readonly queues: TeamQueues
--- a/packages/decisions/src/admission/announceServer.ts
+++ b/packages/decisions/src/admission/announceServer.ts
@@ -25,11 +25,13 @@
   const changed = known.state !== event.state || known.bootId !== event.bootId
   const effects: NodeEffect[] = changed ? [logServer(event, `backend server ${event.state}`)] : []
   if (changed || known.slots !== event.slots) effects.push(publishEndpoints())
-  if (known.bootId !== event.bootId) effects.push(...confirmCrash(state, known))
-  const cold = known.bootId !== event.bootId || known.state !== event.state || !known.reachable
+  const rebooted = known.bootId !== event.bootId && !known.bootUnsure
+  if (rebooted) effects.push(...confirmCrash(state, known))
+  const cold = rebooted || known.state !== event.state || !known.reachable
   known.address = event.address
   known.slots = event.slots
   known.bootId = event.bootId
+  known.bootUnsure = false
   known.state = event.state
   known.limit.limit = Math.min(known.limit.limit, event.slots)
   if (event.state === 'draining') return effects.concat(rejectQueue(state, known, 'draining'))
@@ -44,10 +46,12 @@
     address: event.address,
     slots: event.slots,
     bootId: event.bootId,
+    bootUnsure: false,
     state: event.state,
     reachable: true,
     probeAt: event.at,
     startedAt: event.at,
+    warm: false,
     inFlight: 0,
     queues: createTeamQueues(),
     limit: state.policies.concurrency.start(event.slots, event.at),
--- a/packages/decisions/src/admission/endWork.ts
+++ b/packages/decisions/src/admission/endWork.ts
@@ -1,4 +1,6 @@
+import { toId } from '@lavenderturn/types'
 import { observeEnd } from '../health/observeEnd'
+import { findReference } from '../health/ServiceReference'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { clearMark } from '../quarantine/clearMark'
@@ -40,9 +42,12 @@
 
 function noticeBoot (state: NodeState, server: LocalServer, outcome: WorkOutcome): NodeEffect[] {
   if (outcome.kind !== 'answered' || outcome.bootId === undefined || outcome.bootId === server.bootId) return []
-  const effects = confirmCrash(state, server)
+  const { bootUnsure } = server
+  const effects = bootUnsure ? [] : confirmCrash(state, server)
   server.bootId = outcome.bootId
-  return effects.concat(restartServer(state, server))
+  server.bootUnsure = false
+  // A server that came back after it died has been treated as cold already.
+  return bootUnsure ? effects : effects.concat(restartServer(state, server))
 }
 
 function handleFailure (
@@ -81,6 +86,8 @@
   if (!accepted) return loseServer(state, server)
   const { effects } = failBroken(state, server, false)
   if (server.reachable) return effects
+  server.bootId = toId(`${server.bootId}+`)
+  server.bootUnsure = true
   return effects.concat(restartServer(state, server), startQueued(state, server))
 }
 
@@ -103,7 +110,8 @@
   const kind = classify(outcome)
   const serviceMs = work.servedFrom === undefined ? undefined : state.now - work.servedFrom
   const timed = kind === 'success' && serviceMs !== undefined
-  const slowdown = timed ? recordTiming(server.timings, work.route, serviceMs) : undefined
+  const usualMs = findReference(state, server.service, server.endpoint)?.serviceMs
+  const slowdown = timed ? recordTiming(server.timings, work.route, serviceMs, usualMs) : undefined
   const sample: LimitSample = { kind, slowdown, atLimit: work.atLimit ?? false }
   state.policies.concurrency.update(server.limit, server.slots, sample, state.now)
   if (kind === 'shed') return []
