Add rate limits and idempotency keys

Limits: owners keep a bucket for each team that is active in their partitions and grant gateways parts of rate, burst and tokens, which move and are never made. Messages carry a rising number and state in full what the holder keeps, so a lost, late or duplicated one is made good by the next. Idempotency: a majority of the owners records a claim; claims name the owners that they count on, and copying records raises a fence against claims that count on an owner that has been replaced.

--- a/packages/decisions/src/Policies.ts
+++ b/packages/decisions/src/Policies.ts
@@ -1,9 +1,12 @@
 import { type EndpointPolicy } from './health/EndpointPolicy'
 import { RandomEndpointPolicy } from './health/RandomEndpointPolicy'
+import { DemandShareAllocation } from './limits/DemandShareAllocation'
+import { type ShareAllocationPolicy } from './limits/ShareAllocationPolicy'
 
 /** Behaviour that varies between deployments and baselines. @public */
 export interface Policies {
   readonly endpoint: EndpointPolicy
+  readonly shareAllocation: ShareAllocationPolicy
 }
 
 /** @public */
@@ -16,6 +19,9 @@
  * @returns a complete set
  * @public
  */
-export function createPolicies ({ endpoint = new RandomEndpointPolicy() }: PolicyOptions = {}): Policies {
-  return { endpoint }
+export function createPolicies ({
+  endpoint = new RandomEndpointPolicy(),
+  shareAllocation = new DemandShareAllocation()
+}: PolicyOptions = {}): Policies {
+  return { endpoint, shareAllocation }
 }
--- a/packages/decisions/src/idempotency/IdempotencyEffect.ts
+++ b/packages/decisions/src/idempotency/IdempotencyEffect.ts
@@ -1,2 +1,51 @@
+import type { CallId } from '@lavenderturn/types'
+import type { PeerCall } from '../limits/LimitsEffect'
+import type { ClaimAsk, ClaimReply, ClaimSettlement, CopyAsk, CopyReply } from './ClaimMessages'
+
+/** Claims a key with an owner; `idempotency/claimAnswered` follows unless the call fails. @public */
+export interface SendClaim extends PeerCall {
+  readonly slice: 'idempotency'
+  readonly type: 'claim'
+  readonly ask: ClaimAsk
+}
+
+/** Answers the call of `idempotency/claimAsked`. @public */
+export interface AnswerClaim {
+  readonly slice: 'idempotency'
+  readonly type: 'answerClaim'
+  readonly callId: CallId
+  readonly reply: ClaimReply
+}
+
+/** Settles a claim with an owner; `idempotency/settleAnswered` follows when the owner accepts. @public */
+export interface SendSettle extends PeerCall {
+  readonly slice: 'idempotency'
+  readonly type: 'settle'
+  readonly settlement: ClaimSettlement
+}
+
+/** Answers the call of `idempotency/settleAsked`. @public */
+export interface AnswerSettle {
+  readonly slice: 'idempotency'
+  readonly type: 'answerSettle'
+  readonly callId: CallId
+  readonly accepted: boolean
+}
+
+/** Asks an owner for its records; `idempotency/copyAnswered` follows unless the call fails. @public */
+export interface SendCopyClaims extends PeerCall {
+  readonly slice: 'idempotency'
+  readonly type: 'copyClaims'
+  readonly ask: CopyAsk
+}
+
+/** Answers the call of `idempotency/copyAsked`. @public */
+export interface AnswerCopy {
+  readonly slice: 'idempotency'
+  readonly type: 'answerCopy'
+  readonly callId: CallId
+  readonly reply: CopyReply
+}
+
 /** @public */
-export type IdempotencyEffect = never
+export type IdempotencyEffect = AnswerClaim | AnswerCopy | AnswerSettle | SendClaim | SendCopyClaims | SendSettle
--- a/packages/decisions/src/idempotency/settleClaim.ts
+++ b/packages/decisions/src/idempotency/settleClaim.ts
@@ -1,6 +1,14 @@
+import { type DomainId, toId } from '@lavenderturn/types'
+import { findOwner } from '../control/Assignment'
 import type { GatewayRequest } from '../gateway/GatewayState'
+import { findAddress } from '../limits/findAddress'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
+import { acceptSettlement } from './answerClaim'
+import { clearClaimTimers } from './claimKey'
+import type { ClaimSettlement } from './ClaimMessages'
+import { SETTLE_RETRY, SETTLE_TRIES } from './claimTimes'
+import type { PendingSettlement } from './IdempotencyState'
 
 /** How a claimed request ended: it ran and was answered, it never ran, or nobody knows. @public */
 export type ClaimOutcome =
@@ -9,7 +17,8 @@
   | { readonly kind: 'unknown' }
 
 /**
- * Tells the owners how a claimed request ended, so that a resend gets a true answer.
+ * Tells the owners how a claimed request ended, so that a resend gets a true answer. A claim without a majority is
+ * released: its request has not been dispatched.
  *
  * @param state - the node's state
  * @param request - the request; one without a claim is ignored
@@ -18,5 +27,54 @@
  * @public
  */
 export function settleClaim (state: NodeState, request: GatewayRequest, outcome: ClaimOutcome): NodeEffect[] {
-  return []
+  const claim = state.idempotency.claims.get(request.id)
+  if (claim === undefined) return []
+  state.idempotency.claims.delete(request.id)
+  const settlement: PendingSettlement = {
+    claim, outcome: claim.granted ? outcome : { kind: 'not-run' }, left: new Set(claim.sent), tries: 0
+  }
+  state.idempotency.settlements.set(request.id, settlement)
+  return [...clearClaimTimers(request.id), ...sendSettlement(state, settlement)]
+}
+
+/**
+ * Sends a settlement to the owners that have not confirmed it. An owner can have changed since the last try.
+ *
+ * @param state - the node's state
+ * @param pending - the settlement
+ * @returns effects
+ * @internal
+ */
+export function sendSettlement (state: NodeState, pending: PendingSettlement): NodeEffect[] {
+  const effects: NodeEffect[] = []
+  for (const domain of [...pending.left]) effects.push(...settleWith(state, pending, domain))
+  const { requestId } = pending.claim
+  pending.tries += 1
+  if (pending.left.size === 0 || pending.tries >= SETTLE_TRIES) {
+    state.idempotency.settlements.delete(requestId)
+    return effects
+  }
+  effects.push({
+    slice: 'timer',
+    type: 'set',
+    id: toId(`settle/${requestId}`),
+    delay: SETTLE_RETRY,
+    event: { slice: 'idempotency', type: 'settleDue', requestId }
+  })
+  return effects
+}
+
+function settleWith (state: NodeState, { claim, outcome, left }: PendingSettlement, domain: DomainId): NodeEffect[] {
+  const owner = findOwner(state, claim.partition, domain)?.owner
+  if (owner === undefined) return []
+  const { team, digest, requestId: claimId } = claim
+  const settlement: ClaimSettlement = { team, digest, claimId, gateway: state.identity.nodeId, domain, outcome }
+  const effects: NodeEffect[] = []
+  if (owner === state.identity.nodeId) {
+    if (acceptSettlement(state, settlement, effects)) left.delete(domain)
+    return effects
+  }
+  const address = findAddress(state, owner)
+  if (address === undefined) return effects
+  return [{ slice: 'idempotency', type: 'settle', node: owner, address, settlement }]
 }
--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -1,6 +1,8 @@
 import type { OutwardEffect } from '../NodeEffect'
 import type { NodeEvent } from '../NodeEvent'
 import type { NodeState } from '../NodeState'
+import { assertGrantsUsable } from './assertGrantsUsable'
+import { assertSharesConserved } from './assertSharesConserved'
 import { assertSlotsRespected } from './assertSlotsRespected'
 
 /**
@@ -17,4 +19,6 @@
   for (const effect of effects) {
     if (effect.slice === 'admission' && effect.type === 'dispatch') assertSlotsRespected(state, effect.endpoint)
   }
+  assertSharesConserved(state)
+  assertGrantsUsable(state)
 }
--- a/packages/decisions/src/limits/LimitsEffect.ts
+++ b/packages/decisions/src/limits/LimitsEffect.ts
@@ -1,2 +1,56 @@
+import type { Address, CallId, NodeId } from '@lavenderturn/types'
+import type { GrantAsk, GrantRecall, GrantReply, GrantStatement, HandOver, HandOverResult } from './GrantMessages'
+
+/** Another node to call. @public */
+export interface PeerCall {
+  readonly node: NodeId
+  /** Control address. */
+  readonly address: Address
+}
+
+/** Asks an owner; `limits/askAnswered` or `limits/askFailed` follows. @public */
+export interface AskGrant extends PeerCall {
+  readonly slice: 'limits'
+  readonly type: 'askGrant'
+  readonly ask: GrantAsk
+}
+
+/** Answers the call of `limits/grantAsked`. @public */
+export interface AnswerAsk {
+  readonly slice: 'limits'
+  readonly type: 'answerAsk'
+  readonly callId: CallId
+  readonly reply: GrantReply
+}
+
+/** Gives part of a grant back. A lost message is made good by the next one, or by expiry. @public */
+export interface ReturnGrant extends PeerCall {
+  readonly slice: 'limits'
+  readonly type: 'returnGrant'
+  readonly statement: GrantStatement
+}
+
+/** Asks a holder to give back what it does not need. @public */
+export interface RecallGrant extends PeerCall {
+  readonly slice: 'limits'
+  readonly type: 'recallGrant'
+  readonly recall: GrantRecall
+}
+
+/** Offers a partition to a successor; `limits/handOverAnswered` follows. @public */
+export interface OfferHandOver extends PeerCall {
+  readonly slice: 'limits'
+  readonly type: 'offerHandOver'
+  readonly handOver: HandOver
+}
+
+/** Answers the call of `limits/handOverOffered`. @public */
+export interface AnswerHandOver {
+  readonly slice: 'limits'
+  readonly type: 'answerHandOver'
+  readonly callId: CallId
+  readonly result: HandOverResult
+}
+
 /** @public */
-export type LimitsEffect = never
+export type LimitsEffect = AnswerAsk | AnswerHandOver | AskGrant | OfferHandOver | RecallGrant | ReturnGrant
--- /dev/null
+++ b/packages/decisions/src/limits/limits.test.ts
@@ -0,0 +1,135 @@
+import {
+  findRateExcess, makeCluster, makeClusterDocument, makeDocument, makeHandOver, makeState, makeTeam, recordSession
+} from '@lavenderturn/fixtures'
+import { type CallId, millis, toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import { createEvent } from '../createEvent'
+import { reduce } from '../reduce'
+import { EqualStaticShareAllocation } from './EqualStaticShareAllocation'
+
+describe('rate limits', () => {
+  it('keep to a golden session: asks, a renewal, a recall, returns, and a hand-over', async () => {
+    const cluster = makeCluster({ domainCount: 1, nodesPerDomain: 3, team: makeTeam({ ratePerSecond: 8, burst: 12 }) })
+    cluster.runFor(3_000)
+    const lines = recordSession(cluster, new Set(['limits']))
+    const [owner, first, second] = cluster.nodes
+    for (let count = 0; count < 6; count++) cluster.plan(cluster.now + count * 120, () => { cluster.request(first!) })
+    cluster.runFor(700)
+    for (let count = 0; count < 4; count++) cluster.request(second!)
+    cluster.runFor(600)
+    cluster.leave(owner!)
+    cluster.runFor(20)
+    cluster.request(first!)
+    cluster.runFor(2_000)
+    await expect(lines.join('\n') + '\n').toMatchFileSnapshot('__golden__/limits.session.txt')
+  })
+
+  it('need no round trip per request for a steady team', () => {
+    const cluster = makeCluster({ team: makeTeam({ ratePerSecond: 600, burst: 600 }) })
+    cluster.runFor(3_000)
+    const send = (): void => { cluster.request(cluster.nodes[1]!) }
+    for (let count = 0; count < 2_000; count++) cluster.plan(cluster.now + count * 10, send)
+    cluster.runFor(21_000)
+    expect(cluster.admitted).toHaveLength(2_000)
+    const calls = [...cluster.callCounts.values()].reduce((sum, count) => sum + count, 0)
+    // Two renewals a second, and some asks after uneven arrivals.
+    expect(calls).toBeLessThan(2_000 / 20)
+  })
+
+  it('cost one call for a single request of a team, and no memory two seconds later', () => {
+    const team = makeTeam({ ratePerSecond: 10, burst: 10 })
+    const cluster = makeCluster({ domainCount: 1, team })
+    cluster.runFor(3_000)
+    const [owner, gateway] = cluster.nodes
+    cluster.request(gateway!)
+    cluster.runFor(12_000)
+    expect([...cluster.callCounts]).toEqual([['askGrant', 1]])
+    expect(gateway!.state.limits.holdings.size).toBe(0)
+    expect([...owner!.state.limits.owned.values()].map(({ buckets }) => buckets.size)).toEqual([0])
+  })
+
+  it('refuse as unreachable when no owner answers, and as over the rate when one does', () => {
+    const cluster = makeCluster({ domainCount: 1, nodesPerDomain: 2, team: makeTeam({ ratePerSecond: 1, burst: 1 }) })
+    cluster.runFor(3_000)
+    const [owner, gateway] = cluster.nodes
+    cluster.request(gateway!)
+    cluster.request(gateway!)
+    cluster.runFor(1_000)
+    cluster.network.cuts.add(`${gateway!.id}>${owner!.id}`)
+    cluster.runFor(2_000)
+    cluster.request(gateway!)
+    cluster.runFor(1_000)
+    expect(cluster.refused.map(({ result }) => result)).toEqual(['overRate', 'limitUnreachable'])
+  })
+
+  it('wait 4.1 s after a take-over, and not at all after a hand-over', () => {
+    const cluster = makeCluster({ domainCount: 1, nodesPerDomain: 3 })
+    cluster.runFor(3_000)
+    const [owner] = cluster.listOwners()
+    cluster.leave(owner!)
+    cluster.runFor(1_000)
+    const [heir] = cluster.listOwners()
+    expect(heir).not.toBe(owner)
+    const gateway = cluster.nodes.find((node) => node !== owner && node !== heir)!
+    cluster.request(gateway)
+    cluster.runFor(50)
+    expect(cluster.admitted).toHaveLength(1)
+    cluster.replaceOwner(heir!)
+    cluster.runFor(1_000)
+    cluster.request(gateway)
+    cluster.runFor(2_500)
+    expect(cluster.refused.map(({ result }) => result)).toEqual(['limitUnreachable'])
+    cluster.runFor(1_500)
+    cluster.request(gateway)
+    cluster.runFor(300)
+    expect(cluster.admitted).toHaveLength(2)
+  })
+
+  it('confirm a repeated hand-over without a second set of tokens', () => {
+    const state = makeState()
+    state.control.document = makeDocument()
+    const offer = makeHandOver({
+      buckets: [{ team: toId('fes'), rate: 100, burst: 100, share: 1, room: 1, level: 5, grants: [] }]
+    })
+    const body = { slice: 'limits', type: 'handOverOffered', callId: toId<CallId>('call-1'), handOver: offer } as const
+    reduce(state, createEvent(body, millis(1)))
+    const [bucket] = [...state.limits.owned.values()][0]!.buckets.values()
+    bucket!.level = 0
+    const effects = reduce(state, createEvent(body, millis(2)))
+    expect(effects).toContainEqual({
+      slice: 'limits', type: 'answerHandOver', callId: toId('call-1'), result: 'confirmed'
+    })
+    expect([...state.limits.owned.values()][0]!.buckets.get(toId('fes'))!.level).toBe(0)
+  })
+
+  it('stay within a rate that is cut while grants are out', () => {
+    const cluster = makeCluster({ domainCount: 2 })
+    cluster.runFor(3_000)
+    const arrive = (): void => {
+      cluster.request(cluster.nodes[cluster.admitted.length % 4]!)
+      cluster.plan(cluster.now + 4, arrive)
+    }
+    arrive()
+    cluster.runFor(2_000)
+    const cut = { ratePerSecond: 10, burst: 5 }
+    cluster.accept(makeClusterDocument(makeTeam(cut), cluster.document.domains, 2))
+    cluster.runFor(500)
+    const inForce = cluster.now
+    cluster.runFor(5_000)
+    const times = cluster.admitted.map(({ at }) => at).filter((at) => at >= inForce)
+    expect(times.length).toBeGreaterThan(40)
+    expect(findRateExcess(times, cut)).toBeLessThan(1e-3)
+  })
+
+  it('give every node the same fixed share under the static baseline', () => {
+    const policies = { shareAllocation: new EqualStaticShareAllocation() }
+    const team = makeTeam({ ratePerSecond: 20, burst: 20 })
+    const cluster = makeCluster({ domainCount: 1, nodesPerDomain: 4, team, policies })
+    cluster.runFor(3_000)
+    for (let count = 0; count < 20; count++) cluster.request(cluster.nodes[1]!)
+    cluster.runFor(400)
+    // A quarter of the burst, and a quarter of the rate for the wait: the rest is refused though nobody else needs it.
+    expect(cluster.admitted.length).toBeGreaterThanOrEqual(5)
+    expect(cluster.admitted.length).toBeLessThanOrEqual(7)
+  })
+})
--- /dev/null
+++ b/packages/decisions/src/limits/returnGrant.ts
@@ -0,0 +1,34 @@
+import type { PartitionId } from '@lavenderturn/types'
+import { findOwner } from '../control/Assignment'
+import type { NodeEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { acceptReturn } from './answerAsk'
+import { findAddress } from './findAddress'
+import type { GrantStatement } from './GrantMessages'
+
+/**
+ * Sends a return to the owner. Without an owner the owner's expiry takes the shares back.
+ *
+ * @param state - the node's state
+ * @param partition - the team's partition
+ * @param statement - what the holder keeps and returns
+ * @param effects - receives the call
+ * @internal
+ */
+export function returnGrant (
+  state: NodeState,
+  partition: PartitionId,
+  statement: GrantStatement,
+  effects: NodeEffect[]
+): void {
+  const entry = findOwner(state, partition, statement.domain)
+  if (entry === undefined) return
+  if (entry.owner === state.identity.nodeId) {
+    effects.push(...acceptReturn(state, statement))
+    return
+  }
+  const address = findAddress(state, entry.owner)
+  if (address !== undefined) {
+    effects.push({ slice: 'limits', type: 'returnGrant', node: entry.owner, address, statement })
+  }
+}
--- a/packages/runtime/src/Runtime.ts
+++ b/packages/runtime/src/Runtime.ts
@@ -25,7 +25,9 @@
  * Effects of the request path run in the turn that caused them: a hop through an actor's mailbox waits for an
  * event-loop turn.
  */
-const REQUEST_PATH_SLICES: ReadonlySet<OutwardEffect['slice']> = new Set(['gateway', 'admission', 'timer', 'log'])
+const REQUEST_PATH_SLICES: ReadonlySet<OutwardEffect['slice']> = new Set([
+  'gateway', 'admission', 'idempotency', 'limits', 'timer', 'log'
+])
 
 /** Feeds events to the reducer and its effects to the handlers. @public */
 export class Runtime {
--- /dev/null
+++ b/packages/runtime/src/idempotency/createIdempotencyRoutes.ts
@@ -0,0 +1,45 @@
+import {
+  decodeClaim, decodeCopyAsk, decodeSettlement, encodeClaimReply, encodeCopyReply, IdempotencyService
+} from '@lavenderturn/wire'
+import type { AddRoutes } from '../peers/createControlServer'
+import type { Runtime } from '../Runtime'
+import type { IdempotencyHandler } from './IdempotencyHandler'
+
+/** @public */
+export interface IdempotencyRoutesOptions {
+  readonly runtime: Runtime
+  readonly handler: IdempotencyHandler
+}
+
+/**
+ * Creates the calls of idempotency records on the control port.
+ *
+ * @param options - the runtime that gets the events and the handler that holds open calls
+ * @returns the routes
+ * @public
+ */
+export function createIdempotencyRoutes ({ runtime, handler }: IdempotencyRoutesOptions): AddRoutes {
+  return (router) => {
+    router.service(IdempotencyService, {
+      async claim (message) {
+        const ask = decodeClaim(message)
+        return encodeClaimReply(await handler.claims.open((callId) => {
+          runtime.dispatch({ slice: 'idempotency', type: 'claimAsked', callId, ask })
+        }))
+      },
+      async settle (message) {
+        const settlement = decodeSettlement(message)
+        const accepted = await handler.settlements.open((callId) => {
+          runtime.tell({ slice: 'idempotency', type: 'settleAsked', callId, settlement })
+        })
+        return { accepted }
+      },
+      async copyClaims (message) {
+        const ask = decodeCopyAsk(message)
+        return encodeCopyReply(await handler.copies.open((callId) => {
+          runtime.tell({ slice: 'idempotency', type: 'copyAsked', callId, ask })
+        }))
+      }
+    })
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/limits/createLimitsRoutes.ts
@@ -0,0 +1,49 @@
+import {
+  decodeGrantAsk, decodeGrantRecall, decodeGrantReturn, decodeHandOver, encodeGrantReply, encodeHandOverResult,
+  LimitsService
+} from '@lavenderturn/wire'
+import type { AddRoutes } from '../peers/createControlServer'
+import type { Runtime } from '../Runtime'
+import type { LimitsHandler } from './LimitsHandler'
+
+/** @public */
+export interface LimitsRoutesOptions {
+  readonly runtime: Runtime
+  readonly handler: LimitsHandler
+}
+
+/**
+ * Creates the calls of rate limits on the control port. Asks and returns are reduced in the calling turn, because
+ * requests wait for them.
+ *
+ * @param options - the runtime that gets the events and the handler that holds open calls
+ * @returns the routes
+ * @public
+ */
+export function createLimitsRoutes ({ runtime, handler }: LimitsRoutesOptions): AddRoutes {
+  return (router) => {
+    router.service(LimitsService, {
+      async askGrant (message) {
+        const ask = decodeGrantAsk(message)
+        return encodeGrantReply(await handler.asks.open((callId) => {
+          runtime.dispatch({ slice: 'limits', type: 'grantAsked', callId, ask })
+        }))
+      },
+      returnGrant (message) {
+        runtime.dispatch({ slice: 'limits', type: 'grantReturned', statement: decodeGrantReturn(message) })
+        return {}
+      },
+      recallGrant (message) {
+        runtime.dispatch({ slice: 'limits', type: 'grantRecalled', recall: decodeGrantRecall(message) })
+        return {}
+      },
+      async handOver (message) {
+        const handOver = decodeHandOver(message)
+        const result = await handler.handOvers.open((callId) => {
+          runtime.tell({ slice: 'limits', type: 'handOverOffered', callId, handOver })
+        })
+        return { result: encodeHandOverResult(result) }
+      }
+    })
+  }
+}
--- a/packages/runtime/src/requestPath.test.ts
+++ b/packages/runtime/src/requestPath.test.ts
@@ -1,4 +1,4 @@
-import { makeDocument, makeEndpoint, makeIdentity, makeMember } from '@lavenderturn/fixtures'
+import { makeDocument, makeEndpoint, makeHandOver, makeIdentity, makeMember } from '@lavenderturn/fixtures'
 import { type Address, toId } from '@lavenderturn/types'
 import { createConsola } from 'consola'
 import { createServer, type RequestListener, type Server } from 'node:http'
@@ -33,6 +33,10 @@
       type: 'documentAccepted',
       document: makeDocument({ keys: new Map([[hashKey(KEY), toId('fes')]]) })
     })
+    // The team's rate has an owner; without one, requests are refused as 1430.
+    node.runtime.dispatch({
+      slice: 'limits', type: 'handOverOffered', callId: toId('call-1'), handOver: makeHandOver({ owner: toId(nodeId) })
+    })
     return node
   }
 
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -36,6 +36,8 @@
 export type KeyHash = Branded<string, 'KeyHash'>
 /** A caller's idempotency key. @public */
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>
+/** Hash of a team's idempotency key, of fixed size whatever the caller sent. @public */
+export type KeyDigest = Branded<string, 'KeyDigest'>
 /** Hash of team, method, target and the first part of the body. @public */
 export type Fingerprint = Branded<string, 'Fingerprint'>
 /** Hex SHA-256 of an object in the object store. @public */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,1 +1,6 @@
 export * from './gen/lavenderturn/v1/membership_pb'
+export { IdempotencyService } from './gen/lavenderturn/v1/idempotency_pb'
+export { LimitsService } from './gen/lavenderturn/v1/limits_pb'
+export * from './idempotencyCodec'
+export * from './limitsCodec'
+export { BadMessageError } from './readNumber'
