Merge rate limits and idempotency keys

The entry of a confirmed hand-over goes through the control slice, so that it spreads; changes of owners reach limits, idempotency and permits; a planned stop hands partitions over before its ports close. Tests of the request path make their node the owner of every partition.

--- a/packages/decisions/src/Policies.ts
+++ b/packages/decisions/src/Policies.ts
@@ -4,12 +4,15 @@
 import { type EndpointPolicy } from './health/EndpointPolicy'
 import { OutlierEjection } from './health/OutlierEjection'
 import { PowerOfTwoChoices } from './health/PowerOfTwoChoices'
+import { DemandShareAllocation } from './limits/DemandShareAllocation'
+import { type ShareAllocationPolicy } from './limits/ShareAllocationPolicy'
 
 /** Behaviour that varies between deployments and baselines. @public */
 export interface Policies {
   readonly concurrency: ConcurrencyLimit
   readonly ejection: EjectionPolicy
   readonly endpoint: EndpointPolicy
+  readonly shareAllocation: ShareAllocationPolicy
 }
 
 /** @public */
@@ -25,7 +28,8 @@
 export function createPolicies ({
   concurrency = new AdaptiveConcurrencyLimit(),
   ejection = new OutlierEjection(),
-  endpoint = new PowerOfTwoChoices()
+  endpoint = new PowerOfTwoChoices(),
+  shareAllocation = new DemandShareAllocation()
 }: PolicyOptions = {}): Policies {
-  return { concurrency, ejection, endpoint }
+  return { concurrency, ejection, endpoint, shareAllocation }
 }
--- a/packages/decisions/src/control/reduceControl.ts
+++ b/packages/decisions/src/control/reduceControl.ts
@@ -1,8 +1,11 @@
+import { handleOwnerChanged as changePermitOwner } from '../health/permitOwner'
+import { handleOwnerChanged as changeIdempotencyOwner } from '../idempotency/handleOwnerChanged'
+import { handleOwnerChanged as changeLimitsOwner } from '../limits/handleOwnerChanged'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { adoptDocument } from './adoptRevision'
 import { answerConfirm, answerDeltas, answerSnapshot, answerStatus } from './answerCalls'
-import type { ControlEvent } from './ControlEvent'
+import type { ControlEvent, OwnerChanged } from './ControlEvent'
 import { countAck, endHeadWrite, failObjects, prepareWrite, startApply } from './driveWrites'
 import { endFetch, receiveDeltas, receiveSnapshot } from './fetchRevision'
 import { learnHead } from './followHead'
@@ -37,7 +40,7 @@
     case 'noticeHeard': return hearRevision(state, event.revision, event.from)
     case 'objectsFailed': return failObjects(state, event)
     case 'objectsStored': return prepareWrite(state, event)
-    case 'ownerChanged': return []
+    case 'ownerChanged': return notifyOwnerChange(state, event)
     case 'prepareAnswered': return countAck(state, event)
     case 'prepareAsked': return acceptPrepare(state, event)
     case 'snapshotAsked': return answerSnapshot(state, event)
@@ -47,3 +50,11 @@
     case 'ticked': return tickControl(state)
   }
 }
+
+function notifyOwnerChange (state: NodeState, change: OwnerChanged): NodeEffect[] {
+  return [
+    ...changeLimitsOwner(state, change),
+    ...changeIdempotencyOwner(state, change),
+    ...changePermitOwner(state, change)
+  ]
+}
--- a/packages/decisions/src/health/ejection.random.test.ts
+++ b/packages/decisions/src/health/ejection.random.test.ts
@@ -1,5 +1,6 @@
 import {
-  assignOwner, ColdStartFault, ErrorFault, type TrafficFleet, trafficIds, FlappingFault, makeTrafficFleet, makeTrafficDocument,
+  assignOwner, ColdStartFault, ErrorFault, type TrafficFleet,
+  trafficIds, FlappingFault, makeTrafficFleet, makeTrafficDocument,
   makePropertyOptions, SlowFault
 } from '@lavenderturn/fixtures'
 import { millis, toId } from '@lavenderturn/types'
--- a/packages/decisions/src/health/ejection.test.ts
+++ b/packages/decisions/src/health/ejection.test.ts
@@ -1,5 +1,6 @@
 import {
-  assignOwner, ErrorFault, trafficIds, makeAnnouncement, makeTrafficFleet, makeTrafficDocument, makeMember, makeState, makeWork,
+  assignOwner, ErrorFault, trafficIds, makeAnnouncement,
+  makeTrafficFleet, makeTrafficDocument, makeMember, makeState, makeWork,
   runSession, type SessionEvent, SlowFault
 } from '@lavenderturn/fixtures'
 import { millis, toId } from '@lavenderturn/types'
--- a/packages/decisions/src/invariants/assertInvariants.ts
+++ b/packages/decisions/src/invariants/assertInvariants.ts
@@ -3,9 +3,11 @@
 import type { NodeState } from '../NodeState'
 import { assertFloor } from './assertFloor'
 import { assertFreshService } from './assertFreshService'
+import { assertGrantsUsable } from './assertGrantsUsable'
 import { assertHeadWriteProven } from './assertHeadWriteProven'
 import { assertOwnersRise } from './assertOwnersRise'
 import { assertRevisionRises } from './assertRevisionRises'
+import { assertSharesConserved } from './assertSharesConserved'
 import { assertSlotsRespected } from './assertSlotsRespected'
 import { assertTakesNewWork } from './assertTakesNewWork'
 
@@ -37,4 +39,6 @@
     assertOwnersRise(state, event)
     assertRevisionRises(state)
   }
+  assertSharesConserved(state)
+  assertGrantsUsable(state)
 }
--- a/packages/decisions/src/lifecycle/reduceLifecycle.ts
+++ b/packages/decisions/src/lifecycle/reduceLifecycle.ts
@@ -55,12 +55,17 @@
 
 /**
  * Starts what must be done before the ports close. The members are told first, so that no gateway chooses a backend
- * server of this node while it stops.
+ * server of this node while it stops; then the partitions that it owns are handed over.
  *
  * @returns effects
  */
 function reduceDrainStarted (): NodeEffect[] {
-  return [raise({ slice: 'membership', type: 'leaveStarted' })]
+  return [
+    raise({ slice: 'membership', type: 'leaveStarted' }),
+    raise({ slice: 'lifecycle', type: 'holdPlaced', hold: 'limits' }),
+    raise({ slice: 'lifecycle', type: 'holdPlaced', hold: 'idempotency' }),
+    raise({ slice: 'limits', type: 'leaveStarted' })
+  ]
 }
 
 function finishWhenFree ({ lifecycle }: NodeState): NodeEffect[] {
--- a/packages/runtime/src/createNode.ts
+++ b/packages/runtime/src/createNode.ts
@@ -17,6 +17,10 @@
 import { Journal } from './journal/Journal'
 import { ExchangeCounter } from './lifecycle/ExchangeCounter'
 import { LifecycleHandler, type LifecycleHandlerOptions } from './lifecycle/LifecycleHandler'
+import { createIdempotencyRoutes } from './idempotency/createIdempotencyRoutes'
+import { IdempotencyHandler } from './idempotency/IdempotencyHandler'
+import { createLimitsRoutes } from './limits/createLimitsRoutes'
+import { LimitsHandler } from './limits/LimitsHandler'
 import { LogHandler, type LogHandlerOptions } from './LogHandler'
 import { createMembershipRoutes } from './membership/createMembershipRoutes'
 import { MembershipHandler } from './membership/MembershipHandler'
@@ -96,12 +100,16 @@
   const health = new HealthHandler({ runtime, peers, nodeId: identity.nodeId })
   const membership = new MembershipHandler(runtime, peers)
   const control = new ControlHandler({ runtime, transports: peers })
+  const limits = new LimitsHandler({ runtime, transports: peers })
+  const idempotency = new IdempotencyHandler({ runtime, transports: peers })
   const handlers = [
     gateway,
     admission,
     health,
     membership,
     control,
+    limits,
+    idempotency,
     new PlatformHandler({ runtime, stores: platform }),
     lifecycle,
     new TimerHandler(runtime),
@@ -119,7 +127,9 @@
     controlServer: createControlServer([
       createHealthRoutes({ runtime, handler: health }),
       createMembershipRoutes({ runtime, handler: membership }),
-      addControlRoutes(control)
+      addControlRoutes(control),
+      createLimitsRoutes({ runtime, handler: limits }),
+      createIdempotencyRoutes({ runtime, handler: idempotency })
     ]),
     adminServer: createAdminServer({ runtime, lifecycle, journal, metrics, usage, control, peers }),
     lifecycle,
--- a/packages/runtime/src/health/crash.test.ts
+++ b/packages/runtime/src/health/crash.test.ts
@@ -1,4 +1,4 @@
-import { makeDocument, makeEndpoint, makeIdentity, makeMember } from '@lavenderturn/fixtures'
+import { makeDocument, makeEndpoint, makeIdentity, makeMember, makeOwnership } from '@lavenderturn/fixtures'
 import { type Address, toId } from '@lavenderturn/types'
 import { createConsola } from 'consola'
 import { createServer, type Server } from 'node:http'
@@ -38,6 +38,7 @@
     closers.push(async () => { await node.runtime.stop() })
     const document = makeDocument({ keys: new Map([[hashKey(KEY), toId('fes')]]) })
     node.runtime.dispatch({ slice: 'control', type: 'documentAccepted', document })
+    for (const event of makeOwnership({ owner: makeIdentity().nodeId })) node.runtime.dispatch(event)
     return { node, address: await listen(node.callerServer), forward: await listen(node.forwardServer) }
   }
 
