Import aws4 by its default export

Cause: aws4 is a CommonJS module; Node.js finds no named export in it, so the bundled stand-in ended at its start. The tests did not show it, because vitest loads such modules differently. Change: default import in the client and the stand-in. Result: dist/standin-platform.mjs starts, takes a command and stops on SIGTERM.

--- a/packages/platform/src/SignedClient.ts
+++ b/packages/platform/src/SignedClient.ts
@@ -1,4 +1,4 @@
-import { sign } from 'aws4'
+import aws4 from 'aws4'
 import { Agent, errors } from 'undici'
 import { OutcomeUnknownError, UnreachableError } from './PlatformError'
 
@@ -60,7 +60,7 @@
    * @throws OutcomeUnknownError when it was sent, or may have been, and no answer came
    */
   async send ({ method, path, headers = {}, body }: SignedCall): Promise<SignedAnswer> {
-    const signed = sign({
+    const signed = aws4.sign({
       service: this.service,
       region: this.options.region ?? 'us-east-1',
       method,
--- a/standins/platform/src/verifySignature.ts
+++ b/standins/platform/src/verifySignature.ts
@@ -1,4 +1,4 @@
-import { sign } from 'aws4'
+import aws4 from 'aws4'
 import type { IncomingMessage } from 'node:http'
 
 /** @public */
@@ -24,7 +24,7 @@
   // The date of the call is among the signed headers, so that the signature does not depend on the time of this check.
   const headers: Record<string, string> = {}
   for (const name of signedHeaders!.split(';')) headers[name] = String(req.headers[name] ?? '')
-  const signed = sign({
+  const signed = aws4.sign({
     service,
     region,
     method: req.method,
@@ -33,6 +33,6 @@
     headers,
     // An empty body counts as one that needs a content type.
     body: body.length > 0 ? Buffer.from(body) : undefined
-  } as Parameters<typeof sign>[0], credentials)
+  } as Parameters<typeof aws4.sign>[0], credentials)
   return signed.headers?.Authorization === received
 }
