--- a/packages/decisions/src/health/ejection.test.ts
+++ b/packages/decisions/src/health/ejection.test.ts
@@ -94,10 +94,10 @@
   // Guards against: an ejected endpoint that still gets traffic, and one that never gets any again because no report
   // tells this gateway of its return.
   it('sends nothing until the trial, then a small share, and after 10 s without news a full one', () => {
-    const fleet = makeFleet({})
-    const { node, endpoint } = fleetIds(3)
-    const { state } = fleet.nodes.get(fleetIds(0).node)!
-    fleet.dispatch(fleetIds(0).node, {
+    const fleet = makeTrafficFleet({})
+    const { node, endpoint } = trafficIds(3)
+    const { state } = fleet.nodes.get(trafficIds(0).node)!
+    fleet.dispatch(trafficIds(0).node, {
       slice: 'health',
       type: 'attemptEnded',
       endpoint,
--- a/packages/decisions/src/limits/limits.test.ts
+++ b/packages/decisions/src/limits/limits.test.ts
@@ -88,6 +88,7 @@
   it('confirm a repeated hand-over without a second set of tokens', () => {
     const state = makeState()
     state.control.document = makeDocument()
+    state.control.headReadAt = millis(0)
     const offer = makeHandOver({
       buckets: [{ team: toId('fes'), rate: 100, burst: 100, share: 1, room: 1, level: 5, grants: [] }]
     })
--- a/packages/decisions/src/membership/reduceMembership.ts
+++ b/packages/decisions/src/membership/reduceMembership.ts
@@ -88,7 +88,9 @@
 }
 
 function learnChange (state: NodeState, change: MemberChange): NodeEffect[] {
-  if (change.record.nodeId !== state.identity.nodeId) return updateMember(state, change)
+  const { nodeId } = state.identity
+  const isOther = change.record.nodeId !== nodeId || !state.membership.members.has(nodeId)
+  if (isOther) return updateMember(state, change)
   return change.status === 'alive' ? [] : refute(state, change)
 }
 
