Fence limits of removed domains and serve small bursts in turn

Owners now deny asks for domains that are not declared.

Adds tests for single fences that the randomised runs do not reach alone.

--- /dev/null
+++ b/packages/decisions/src/idempotency/fences.test.ts
@@ -0,0 +1,161 @@
+import { makeClaimAsk, makeDocument, makeMember, makeRoute, makeSeat, makeState } from '@lavenderturn/fixtures'
+import {
+  type CallId, type DomainId, type KeyHash, type Millis, millis, type NodeId, type PartitionId, type TeamId, toId
+} from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import { type AssignmentEntry, assignmentKey, partitionOf } from '../control/Assignment'
+import { createEvent } from '../createEvent'
+import type { OutwardEffect } from '../NodeEffect'
+import type { EventBody } from '../NodeEvent'
+import type { NodeState } from '../NodeState'
+import { reduce } from '../reduce'
+import type { ClaimAsk, ClaimReply, CopyReply, RecordCopy, SeatView } from './ClaimMessages'
+import { handleOwnerChanged } from './handleOwnerChanged'
+
+const callId = toId<CallId>('call-1')
+const partition: PartitionId = partitionOf(toId<TeamId>('fes'))
+const domains = ['dc-1', 'dc-2', 'dc-3'].map((name) => toId<DomainId>(name))
+const replaced = makeSeat({ domain: toId('dc-2'), epoch: 2 })
+
+describe('an owner of idempotency records', () => {
+  it('refuses a claim that counts on an owner whose successor has copied already', () => {
+    const state = makeOwner(makeEntry('dc-1', 'node-a'))
+    const ask = { partition, source: toId<DomainId>('dc-1'), seat: replaced, cursor: 0 }
+    step(state, { slice: 'idempotency', type: 'copyAsked', callId, ask })
+    expect(claim(state)).toMatchObject({ result: 'cannotTell' })
+    const seats = makeClaimAsk().seats.map((seat) => seat.domain === replaced.domain ? replaced : seat)
+    expect(claim(state, { seats })).toMatchObject({ result: 'recorded' })
+  })
+
+  it('takes over from others which owners have been replaced', () => {
+    const others = [makeEntry('dc-2', 'node-y', 2), makeEntry('dc-3', 'node-dc-3')]
+    const state = makeOwner(makeEntry('dc-1', 'node-a', 2), makeEntry('dc-1', 'node-x'), others)
+    for (const source of ['dc-2', 'dc-3']) receivePage(state, source, [], [replaced])
+    const own = makeSeat({ epoch: 2 })
+    expect(claim(state, { seats: [own, makeSeat({ domain: toId('dc-2') })] })).toMatchObject({ result: 'cannotTell' })
+    expect(claim(state, { seats: [own, replaced] })).toMatchObject({ result: 'recorded' })
+  })
+
+  it('records nothing more once its successor copies', () => {
+    const state = makeOwner(makeEntry('dc-1', 'node-a'))
+    const ask = { partition, source: toId<DomainId>('dc-1'), seat: makeSeat({ sequence: 1 }), cursor: 0 }
+    claim(state)
+    step(state, { slice: 'idempotency', type: 'copyAsked', callId, ask })
+    expect(claim(state, { digest: toId('digest-2') })).toMatchObject({ result: 'cannotTell' })
+  })
+
+  it('keeps a key refused when copies name different claims, and one of them is released', () => {
+    const state = makeOwner(makeEntry('dc-1', 'node-a', 2), makeEntry('dc-1', 'node-x'))
+    const copy: RecordCopy = { ...makeClaimAsk(), run: { kind: 'pending' }, remaining: millis(1_000_000) }
+    receivePage(state, 'dc-2', [copy])
+    receivePage(state, 'dc-3', [{ ...copy, claimId: toId('request-2') }])
+    for (const claimId of ['request-1', 'request-2']) {
+      const settlement = { ...makeClaimAsk({ claimId: toId(claimId) }), outcome: { kind: 'not-run' } as const }
+      step(state, { slice: 'idempotency', type: 'settleAsked', callId, settlement })
+    }
+    const seats = [makeSeat({ epoch: 2 })]
+    expect(claim(state, { claimId: toId('request-3'), seats })).toMatchObject({ result: 'exists' })
+  })
+
+  it('recognises a claim that arrives twice, and a late copy of one that was released', () => {
+    const state = makeOwner(makeEntry('dc-1', 'node-a'))
+    expect(claim(state)).toMatchObject({ result: 'recorded' })
+    expect(claim(state)).toMatchObject({ result: 'recorded' })
+    expect(claim(state, { claimId: toId('request-2') })).toMatchObject({ result: 'exists' })
+    const settlement = { ...makeClaimAsk(), outcome: { kind: 'not-run' } as const }
+    step(state, { slice: 'idempotency', type: 'settleAsked', callId, settlement })
+    expect(claim(state)).toMatchObject({ result: 'cannotTell' })
+    expect(claim(state, { claimId: toId('request-2') })).toMatchObject({ result: 'recorded' })
+  })
+})
+
+describe('a gateway that claims a key', () => {
+  it('does not count the vote of an owner that has been replaced, whether it came before or comes late', () => {
+    const state = makeGateway()
+    vote(state, 'dc-1')
+    state.control.assignment.set(assignmentKey(partition, toId('dc-1')), makeEntry('dc-1', 'node-y', 2))
+    step(state, { slice: 'idempotency', type: 'claimRetryDue', requestId: toId('request-1') })
+    vote(state, 'dc-2')
+    expect(isForwarded(state)).toBe(false)
+    vote(state, 'dc-1')
+    expect(isForwarded(state)).toBe(false)
+    vote(state, 'dc-1', makeSeat({ epoch: 2 }))
+    expect(isForwarded(state)).toBe(true)
+  })
+})
+
+function makeEntry (domain: string, owner: string, epoch = 1): AssignmentEntry {
+  return { partition, domain: toId(domain), owner: toId<NodeId>(owner), epoch, sequence: 0 }
+}
+
+function makeOwner (
+  entry: AssignmentEntry,
+  previous?: AssignmentEntry,
+  others = domains.map((domain) => makeEntry(domain, `node-${domain}`))
+): NodeState {
+  const state = makeState()
+  state.control.document = makeDocument({ domains })
+  for (const other of [...others, entry]) state.control.assignment.set(assignmentKey(partition, other.domain), other)
+  handleOwnerChanged(state, { entry, previous })
+  return state
+}
+
+function makeGateway (): NodeState {
+  const state = makeOwner(makeEntry('dc-1', 'node-dc-1'))
+  state.control.document = makeDocument({
+    domains,
+    keys: new Map([[toId<KeyHash>('hash'), toId<TeamId>('fes')]]),
+    routes: [makeRoute({ repeatable: false, access: { kind: 'open' } })]
+  })
+  for (const domain of domains) {
+    const record = makeMember({ nodeId: toId(`node-${domain}`) })
+    step(state, { slice: 'membership', type: 'memberLearned', status: 'alive', record })
+  }
+  step(state, {
+    slice: 'gateway',
+    type: 'requestArrived',
+    requestId: toId('request-1'),
+    method: 'POST',
+    path: '/stock',
+    keyInTarget: false,
+    idempotencyKey: toId('order-1'),
+    fingerprint: toId('print-1')
+  })
+  // Open routes share one partition; the claim's own partition has no entries in this fixture.
+  const pending = state.idempotency.claims.get(toId('request-1'))!
+  Object.assign(pending, { partition })
+  step(state, { slice: 'idempotency', type: 'claimRetryDue', requestId: toId('request-1') })
+  return state
+}
+
+function step (state: NodeState, body: EventBody): OutwardEffect[] {
+  return reduce(state, createEvent(body, 1 as Millis))
+}
+
+function claim (state: NodeState, options: Partial<ClaimAsk> = {}): ClaimReply | undefined {
+  const effects = step(state, { slice: 'idempotency', type: 'claimAsked', callId, ask: makeClaimAsk(options) })
+  return effects.flatMap((effect) => 'reply' in effect && 'result' in effect.reply ? [effect.reply] : [])[0]
+}
+
+function vote (state: NodeState, domain: string, seat = makeSeat({ domain: toId(domain) })): void {
+  const reply: ClaimReply = { claimId: toId('request-1'), domain: toId(domain), result: 'recorded', seat }
+  step(state, { slice: 'idempotency', type: 'claimAnswered', reply })
+}
+
+function isForwarded (state: NodeState): boolean {
+  return state.gateway.requests.get(toId('request-1'))?.phase === 'forwarding'
+}
+
+function receivePage (
+  state: NodeState,
+  source: string,
+  records: readonly RecordCopy[],
+  seats: readonly SeatView[] = []
+): void {
+  const seat = makeSeat({ epoch: 2 })
+  const page: CopyReply = { kind: 'page', records, cursor: records.length, done: false, seats }
+  const ask = { partition, source: toId<DomainId>(source), seat, cursor: 0 }
+  step(state, { slice: 'idempotency', type: 'copyAnswered', ask, reply: page })
+  const last: CopyReply = { ...page, records: [], done: true }
+  step(state, { slice: 'idempotency', type: 'copyAnswered', ask: { ...ask, cursor: records.length }, reply: last })
+}
--- a/packages/decisions/src/limits/DemandShareAllocation.ts
+++ b/packages/decisions/src/limits/DemandShareAllocation.ts
@@ -1,5 +1,6 @@
 import { millis } from '@lavenderturn/types'
-import { LOOKAHEAD, TIGHT_ROOM } from './limitTimes'
+import { TOKEN_TOLERANCE } from './holdGrants'
+import { LOOKAHEAD, SCARCE_TOKENS, TIGHT_ROOM } from './limitTimes'
 import type { Bucket, OwnerGrant } from './LimitsState'
 import { type Allocation, type AllocationRequest, type RecallTarget, ShareAllocationPolicy } from './ShareAllocationPolicy'
 
@@ -25,7 +26,7 @@
 export class DemandShareAllocation extends ShareAllocationPolicy {
   override allocate (request: AllocationRequest): Allocation {
     const { bucket, ask } = request
-    const wanted = Math.min(ask.waiting, bucket.level)
+    const wanted = findTokens(request)
     if (!isAmple(bucket) && (ask.demand === 0 || !isSole(request))) {
       return { share: 0, room: findRoom(request, wanted, 0), tokens: wanted, keepShare: 0 }
     }
@@ -68,6 +69,14 @@
   return true
 }
 
+/** Parts of scarce tokens at several gateways leave no room for a whole one anywhere. */
+function findTokens ({ bucket, ask, domainCount }: AllocationRequest): number {
+  const isPart = bucket.level < Math.min(1, ask.waiting, bucket.burst) - TOKEN_TOLERANCE
+  const isScarce = bucket.burst * domainCount <= SCARCE_TOKENS || (bucket.burst >= 1 && bucket.burst < SCARCE_TOKENS)
+  if (isPart && isScarce) return 0
+  return Math.min(ask.waiting, bucket.level)
+}
+
 function findRoom ({ bucket, kept, ask }: AllocationRequest, tokens: number, share: number): number {
   const level = kept.level + tokens
   const fill = share > 0 ? Math.max(1, share * bucket.rate * LOOKAHEAD / 1_000) : 0
--- a/packages/decisions/src/limits/ShareAllocationPolicy.ts
+++ b/packages/decisions/src/limits/ShareAllocationPolicy.ts
@@ -9,6 +9,8 @@
   readonly bucket: Readonly<Bucket>
   readonly kept: KeptGrant
   readonly ask: GrantAsk
+  /** Domains over which the team's burst is divided. */
+  readonly domainCount: number
   /** Nodes that can hold grants. */
   readonly memberCount: number
   readonly now: Millis
--- a/packages/decisions/src/limits/answerAsk.ts
+++ b/packages/decisions/src/limits/answerAsk.ts
@@ -1,5 +1,5 @@
 import { addMillis, type CallId, type Millis, millis } from '@lavenderturn/types'
-import { assignmentKey, partitionOf, supersedes } from '../control/Assignment'
+import { assignmentKey, listDomains, partitionOf, supersedes } from '../control/Assignment'
 import { isFresh } from '../control/isFresh'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
@@ -9,6 +9,7 @@
 import { ASK_HOLD, GRANT_LIFETIME, GRANT_MARGIN, TIGHT_ROOM, TOKENS_LIFETIME } from './limitTimes'
 import type { Bucket, HeldAsk, OwnedPartition, OwnerGrant } from './LimitsState'
 import { findAddress } from './findAddress'
+import { countDomains } from './findSubLimit'
 import type { Allocation, AllocationRequest } from './ShareAllocationPolicy'
 import { type KeptGrant, openBucket, reclaim } from './settleBucket'
 
@@ -53,7 +54,7 @@
 }
 
 function describeRequest (state: NodeState, bucket: Bucket, ask: GrantAsk, kept: KeptGrant): AllocationRequest {
-  return { bucket, kept, ask, memberCount: countMembers(state), now: state.now }
+  return { bucket, kept, ask, domainCount: countDomains(state), memberCount: countMembers(state), now: state.now }
 }
 
 function grant (state: NodeState, owned: OwnedPartition, request: AllocationRequest): GrantReply {
@@ -136,6 +137,8 @@
 function findOpenPartition (state: NodeState, ask: GrantAsk): OwnedPartition | undefined {
   const owned = state.limits.owned.get(assignmentKey(partitionOf(ask.team), ask.domain))
   if (owned === undefined || owned.handOver !== undefined) return undefined
+  // A domain that has been taken out of the declaration has no part of the rate any more.
+  if (!listDomains(state).includes(ask.domain)) return undefined
   if (state.now < owned.openAt || !isFresh(state)) return undefined
   // The holder knows of a newer owner than this node does.
   const holderEntry = { ...owned.entry, epoch: ask.entryEpoch, sequence: ask.entrySequence }
--- a/packages/decisions/src/limits/answerRecall.ts
+++ b/packages/decisions/src/limits/answerRecall.ts
@@ -25,7 +25,8 @@
   // A return would void the answer to an ask on its way, and the ask has returned the excess already.
   if (grant.epoch !== recall.epoch || holding.asks.has(recall.domain)) return undefined
   const level = settleGrant(state, grant, sub)
-  const kept = holding.waiting.length > 0 ? level : 0
+  // An owner that serves gateways in turn needs parts of tokens back too: apart they serve nobody.
+  const kept = holding.waiting.length > 0 && recall.keepShare > 0 ? level : 0
   const share = Math.min(grant.share, recall.keepShare)
   if (level - kept < WORTHWHILE && grant.share - share < WORTHWHILE) return undefined
   return cutGrant(state, recall, grant, { share, level: kept })
--- a/packages/decisions/src/limits/askOwner.ts
+++ b/packages/decisions/src/limits/askOwner.ts
@@ -1,14 +1,14 @@
 import { addMillis, type DomainId, millis } from '@lavenderturn/types'
-import { findOwner } from '../control/Assignment'
+import { findOwner, listDomains } from '../control/Assignment'
 import type { NodeEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { answerAsk } from './answerAsk'
 import { cutGrant, type GrantCut } from './answerRecall'
 import { findAddress } from './findAddress'
-import { findSubLimit } from './findSubLimit'
+import { countDomains, findSubLimit } from './findSubLimit'
 import type { GrantAsk, GrantReply, GrantStatement } from './GrantMessages'
-import { estimateDemand, settleGrant, sumLevels } from './holdGrants'
-import { ASK_TIMEOUT, TOKENS_AHEAD } from './limitTimes'
+import { estimateDemand, settleGrant, sumLevels, TOKEN_TOLERANCE } from './holdGrants'
+import { ASK_TIMEOUT, SCARCE_TOKENS, TOKENS_AHEAD } from './limitTimes'
 import type { HeldGrant, TeamHolding } from './LimitsState'
 
 /** Share asked above the estimated demand, so that a small rise needs no further ask. */
@@ -137,6 +137,10 @@
   holding.answeredAt = state.now
   // The owner had enough, so it is asked first for requests that have arrived since.
   if (reply.tokens >= ask.waiting) holding.asked.delete(reply.domain)
+  // The parts of the other domains would be of no use to this gateway, but to one that has this one's.
+  const isShort = reply.tokens < Math.min(ask.waiting, reply.burst) - TOKEN_TOLERANCE
+  const isScarce = reply.burst * countDomains(state) <= SCARCE_TOKENS
+  if (isShort && isScarce) for (const domain of listDomains(state)) holding.asked.add(domain)
   const expiresAt = addMillis(ask.sentAt, reply.lifetime)
   if (expiresAt <= state.now) return
   const known = reply.continued ? holding.grants.get(reply.domain) : undefined
--- /dev/null
+++ b/packages/decisions/src/limits/fences.test.ts
@@ -0,0 +1,141 @@
+import { makeDocument, makeGrantAsk, makeHandOver, makeMember, makeState } from '@lavenderturn/fixtures'
+import { type CallId, type KeyHash, type Millis, millis, type TeamId, toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import { partitionOf } from '../control/Assignment'
+import { createEvent } from '../createEvent'
+import type { EventBody } from '../NodeEvent'
+import type { OutwardEffect } from '../NodeEffect'
+import type { NodeState } from '../NodeState'
+import { reduce } from '../reduce'
+import type { GrantAsk, GrantReply, HandOverResult } from './GrantMessages'
+import { settleGrant } from './holdGrants'
+import type { AskGrant } from './LimitsEffect'
+import type { HeldGrant } from './LimitsState'
+
+const callId = toId<CallId>('call-1')
+const keyHash = toId<KeyHash>('hash-1')
+const key = `${partitionOf(toId<TeamId>('fes'))}/dc-1`
+
+describe('an owner of rate limits', () => {
+  it('does not shorten a grant that its holder may still use when the answer is lost', () => {
+    const state = makeOwner()
+    ask(state, { demand: 50 }, 10)
+    ask(state, { number: 2, waiting: 0, tokens: 0 }, 20)
+    expect([...state.limits.owned.get(key)!.buckets.get(toId('fes'))!.grants.values()][0]!.expiresAt).toBe(1_110)
+  })
+
+  it('denies a duplicate and a late ask', () => {
+    const state = makeOwner()
+    expect(ask(state, { number: 2 }, 10)).toMatchObject({ kind: 'granted', tokens: 1 })
+    expect(ask(state, { number: 2 }, 11)).toMatchObject({ kind: 'denied' })
+    expect(ask(state, { number: 1 }, 12)).toMatchObject({ kind: 'denied' })
+  })
+
+  it('grants nothing once it hands over', () => {
+    const state = makeOwner()
+    step(state, { slice: 'limits', type: 'leaveStarted' }, 10)
+    expect(ask(state, {}, 11)).toMatchObject({ kind: 'denied' })
+  })
+
+  it('offers a hand-over without an answer to the same node again, since that may have installed it', () => {
+    const state = makeOwner()
+    const first = step(state, { slice: 'limits', type: 'leaveStarted' }, 10)
+    const second = step(state, { slice: 'limits', type: 'handOverDue', key }, 510)
+    const offers = [...first, ...second].flatMap((effect) => 'handOver' in effect ? [effect.handOver.entry] : [])
+    expect(offers).toHaveLength(2)
+    expect(offers[1]).toEqual(offers[0])
+  })
+
+  it('refuses a late copy of an offer that it refused, because another node may have it now', () => {
+    const state = makeState()
+    state.control.document = makeDocument()
+    expect(offer(state, 3_000)).toBe('refused')
+    state.control.freshAt = millis(3_001)
+    expect(offer(state, 3_002)).toBe('refused')
+  })
+})
+
+describe('a holder of grants', () => {
+  it('ignores the answer to any ask but the latest', () => {
+    const state = makeOwner('node-c')
+    const effects = step(state, {
+      slice: 'gateway',
+      type: 'requestArrived',
+      requestId: toId('request-1'),
+      method: 'GET',
+      path: '/stock',
+      keyHash,
+      keyInTarget: false,
+      fingerprint: toId('print-1')
+    }, 1)
+    const sent = effects.find((effect) => effect.slice === 'limits' && effect.type === 'askGrant') as AskGrant
+    const reply: GrantReply = {
+      kind: 'granted',
+      team: toId('fes'),
+      domain: toId('dc-1'),
+      holder: toId('node-a'),
+      number: sent.ask.number - 1,
+      epoch: 1,
+      continued: false,
+      share: 1,
+      room: 1,
+      tokens: 9,
+      rate: 100,
+      burst: 100,
+      lifetime: millis(1_000),
+      tight: false,
+      keepShare: 1,
+      fixed: false
+    }
+    step(state, { slice: 'limits', type: 'askAnswered', reply }, 2)
+    expect(state.limits.holdings.get(toId('fes'))!.grants.size).toBe(0)
+  })
+
+  it('fills at its own rate when that is lower than the owner\'s', () => {
+    const state = makeState()
+    state.now = millis(100)
+    const grant: HeldGrant = {
+      epoch: 1,
+      share: 1,
+      room: 1,
+      rate: 100,
+      burst: 100,
+      level: 0,
+      filledAt: millis(0),
+      expiresAt: millis(1_000),
+      renewAt: millis(500),
+      tight: false,
+      keepShare: 1,
+      fixed: false
+    }
+    expect(settleGrant(state, grant, { rate: 10, burst: 10 })).toBeCloseTo(1)
+  })
+})
+
+function makeOwner (owner = 'node-a'): NodeState {
+  const state = makeState()
+  state.control.document = makeDocument({ keys: new Map([[keyHash, toId('fes')]]) })
+  for (const nodeId of ['node-b', 'node-c']) {
+    const record = makeMember({ nodeId: toId(nodeId) })
+    step(state, { slice: 'membership', type: 'memberLearned', status: 'alive', record }, 0)
+  }
+  if (owner === 'node-a') offer(state, 0)
+  else state.control.assignment.set(key, makeHandOver({ owner: toId(owner) }).entry)
+  return state
+}
+
+function step (state: NodeState, body: EventBody, at: number): OutwardEffect[] {
+  return reduce(state, createEvent(body, at as Millis))
+}
+
+function ask (state: NodeState, options: Partial<GrantAsk>, at: number): GrantReply | undefined {
+  const effects = step(state, { slice: 'limits', type: 'grantAsked', callId, ask: makeGrantAsk(options) }, at)
+  return effects.flatMap((effect) => effect.slice === 'limits' && effect.type === 'answerAsk' ? [effect.reply] : [])[0]
+}
+
+function offer (state: NodeState, at: number): HandOverResult | undefined {
+  const effects = step(state, { slice: 'limits', type: 'handOverOffered', callId, handOver: makeHandOver() }, at)
+  return effects.flatMap((effect) => {
+    return effect.slice === 'limits' && effect.type === 'answerHandOver' ? [effect.result] : []
+  })[0]
+}
--- a/packages/decisions/src/limits/limitTimes.ts
+++ b/packages/decisions/src/limits/limitTimes.ts
@@ -45,6 +45,9 @@
  */
 export const TOKENS_AHEAD = millis(100)
 
+/** A team's burst, in all domains, up to which its tokens go to one gateway after another, and only whole ones. */
+export const SCARCE_TOKENS = 2
+
 /**
  * Part of the burst below which the owner is short of room: with more than the rest in grants, its own bucket would
  * overflow and lose tokens of a team that is inside its rate.
--- a/packages/decisions/src/limits/limits.test.ts
+++ b/packages/decisions/src/limits/limits.test.ts
@@ -121,6 +121,33 @@
     expect(findRateExcess(times, cut)).toBeLessThan(1e-3)
   })
 
+  it('are not granted by an owner that is not fresh', () => {
+    const cluster = makeCluster({ domainCount: 1 })
+    cluster.runFor(3_000)
+    const [owner, gateway] = cluster.nodes
+    owner!.isolated = true
+    cluster.runFor(2_600)
+    cluster.request(gateway!)
+    cluster.runFor(1_000)
+    expect(cluster.refused.map(({ result }) => result)).toEqual(['limitUnreachable'])
+  })
+
+  it('are not used twice when a domain is taken out of the declaration', () => {
+    const team = makeTeam({ ratePerSecond: 300, burst: 150 })
+    const cluster = makeCluster({ domainCount: 3, nodesPerDomain: 1, team })
+    cluster.runFor(3_000)
+    const arrive = (): void => {
+      for (const node of cluster.nodes) cluster.request(node)
+      cluster.plan(cluster.now + 4, arrive)
+    }
+    arrive()
+    cluster.runFor(2_000)
+    cluster.accept(makeClusterDocument(team, cluster.document.domains.slice(0, 2), 2))
+    cluster.runFor(8_000)
+    expect(cluster.admitted.length).toBeGreaterThan(2_500)
+    expect(findRateExcess(cluster.admitted.map(({ at }) => at), team)).toBeLessThan(1e-3)
+  })
+
   it('give every node the same fixed share under the static baseline', () => {
     const policies = { shareAllocation: new EqualStaticShareAllocation() }
     const team = makeTeam({ ratePerSecond: 20, burst: 20 })
