--- a/standins/platform/src/main.ts
+++ b/standins/platform/src/main.ts
@@ -1,9 +1,6 @@
 import { command, number, option, run } from 'cmd-ts'
-import { createConsola } from 'consola'
 import { startPlatformStandin } from './startPlatformStandin'
 
-const log = createConsola()
-
 await run(command({
   name: 'standin-platform',
   description: 'Stand-in of the table service (DynamoDB JSON protocol) and the object store (S3 REST)',
@@ -13,7 +10,8 @@
   },
   handler: async (options) => {
     const standin = await startPlatformStandin(options)
-    log.info('platform stand-in started', { endpoint: standin.endpoint, admin: standin.adminEndpoint })
+    // Written without the logger, which is silent in test runs; whoever starts the stand-in waits for this line.
+    process.stdout.write(`${JSON.stringify({ endpoint: standin.endpoint, admin: standin.adminEndpoint })}\n`)
     const stop = (): void => { void standin.close() }
     process.once('SIGTERM', stop)
     process.once('SIGINT', stop)
