Drop empty returns that void the tokens of the return before

A holder that had given everything back on a recall sent a second, empty return in the same millisecond. A grant that has nothing left is now forgotten without a message.

--- a/packages/decisions/src/limits/answerRecall.ts
+++ b/packages/decisions/src/limits/answerRecall.ts
@@ -2,7 +2,7 @@
 import { findSubLimit } from './findSubLimit'
 import type { GrantKey, GrantRecall, GrantStatement } from './GrantMessages'
 import { settleGrant } from './holdGrants'
-import { LOOKAHEAD } from './limitTimes'
+import { LOOKAHEAD, SCARCE_TOKENS } from './limitTimes'
 import type { HeldGrant } from './LimitsState'
 
 /** Less than this is not worth a message. */
@@ -25,8 +25,9 @@
   // A return would void the answer to an ask on its way, and the ask has returned the excess already.
   if (grant.epoch !== recall.epoch || holding.asks.has(recall.domain)) return undefined
   const level = settleGrant(state, grant, sub)
-  // An owner that serves gateways in turn needs parts of tokens back too: apart they serve nobody.
-  const kept = holding.waiting.length > 0 && recall.keepShare > 0 ? level : 0
+  // Parts of scarce tokens go back too, although requests wait for them: apart they serve nobody.
+  const isScarce = recall.keepShare === 0 && grant.burst < SCARCE_TOKENS
+  const kept = holding.waiting.length > 0 && !isScarce ? level : 0
   const share = Math.min(grant.share, recall.keepShare)
   if (level - kept < WORTHWHILE && grant.share - share < WORTHWHILE) return undefined
   return cutGrant(state, recall, grant, { share, level: kept })
--- a/packages/decisions/src/limits/fences.test.ts
+++ b/packages/decisions/src/limits/fences.test.ts
@@ -7,6 +7,7 @@
 import type { OutwardEffect } from '../NodeEffect'
 import type { NodeState } from '../NodeState'
 import { reduce } from '../reduce'
+import { findSubLimit } from './findSubLimit'
 import type { GrantAsk, GrantReply, HandOverResult } from './GrantMessages'
 import { settleGrant } from './holdGrants'
 import type { AskGrant } from './LimitsEffect'
@@ -31,6 +32,26 @@
     expect(ask(state, { number: 1 }, 12)).toMatchObject({ kind: 'denied' })
   })
 
+  it('fills from the expiry of a grant on, even if nobody looks at the bucket then', () => {
+    const state = makeOwner()
+    ask(state, { waiting: 60, tokens: 60 }, 10)
+    state.control.freshAt = millis(10_000)
+    ask(state, { number: 2, waiting: 0, tokens: 0 }, 10_000)
+    expect(state.limits.owned.get(key)!.buckets.get(toId('fes'))!.level).toBeCloseTo(100)
+  })
+
+  it('keeps to the smaller part while the owner of a removed domain can still grant', () => {
+    const state = makeOwner()
+    const team = toId<TeamId>('fes')
+    state.control.document = makeDocument({ domains: [toId('dc-1'), toId('dc-2')] })
+    expect(findSubLimit(state, team)!.rate).toBe(50)
+    state.control.document = makeDocument({ domains: [toId('dc-1')] })
+    state.now = millis(4_000)
+    expect(findSubLimit(state, team)!.rate).toBe(50)
+    state.now = millis(8_200)
+    expect(findSubLimit(state, team)!.rate).toBe(100)
+  })
+
   it('grants nothing once it hands over', () => {
     const state = makeOwner()
     step(state, { slice: 'limits', type: 'leaveStarted' }, 10)
--- a/packages/decisions/src/limits/runTeam.ts
+++ b/packages/decisions/src/limits/runTeam.ts
@@ -80,8 +80,10 @@
   const sub = findSubLimit(state, holding.team)
   if (sub !== undefined) settleGrant(state, grant, sub)
   holding.grants.delete(domain)
-  // Nothing but used-up burst share: its expiry costs nothing, a message does.
-  if (grant.share === 0 && grant.level <= TOKEN_TOLERANCE && !grant.tight) return
+  // Nothing but used-up burst share: its expiry costs nothing, a message does. After a recall even that has gone back,
+  // and an empty return that overtakes the one before would void the tokens in it.
+  const isEmpty = grant.room <= TOKEN_TOLERANCE || !grant.tight
+  if (grant.share === 0 && grant.level <= TOKEN_TOLERANCE && isEmpty) return
   const key = { team: holding.team, domain, holder: state.identity.nodeId }
   const statement = cutGrant(state, key, grant, { share: 0, level: 0 })
   returnGrant(state, holding.partition, statement, effects)
