--- a/tools/bench/measurePath.ts
+++ b/tools/bench/measurePath.ts
@@ -26,6 +26,8 @@
 /** Far above the load, so that no request waits for its team's rate. */
 const TEAM_RATE = 100_000
 
+const APPLY_TRIES = 20
+
 const STORE_CREDENTIALS = ['--access-key-id', 'standin', '--secret-access-key', 'standin-secret']
 
 /** Finds a program that `npm run build` has made. */
@@ -96,9 +98,14 @@
   const folder = await mkdtemp(join(tmpdir(), 'lavenderturn-bench-'))
   const file = join(folder, 'declaration.json')
   await writeFile(file, JSON.stringify(declaration))
-  const code = await children.run('apply', [...program('lavenderturn-ctl'), 'apply', file, '--node', admin])
+  // The nodes refuse a declaration until they have found each other.
+  for (let left = APPLY_TRIES; ; left--) {
+    const code = await children.run('apply', [...program('lavenderturn-ctl'), 'apply', file, '--node', admin])
+    if (code === 0) break
+    if (left === 0) throw new Error(`lavenderturn-ctl apply ended with code ${code}`)
+    await delay(500)
+  }
   await rm(folder, { recursive: true })
-  if (code !== 0) throw new Error(`lavenderturn-ctl apply ended with code ${code}`)
 }
 
 async function measure (seconds: number): Promise<void> {
