Keep uploads movable on busy machines, and let the demo look at readiness

Change: the wait is 1 s. The demo's callers leave out nodes that are not ready, as behind a load balancer, and a failed connect counts as not sent.

--- a/apps/demo/src/demoSteps.ts
+++ b/apps/demo/src/demoSteps.ts
@@ -23,6 +23,9 @@
 /** Makes an upload of 64 chunks of 64 KiB last longer than the grace period of a planned stop, which is 6 s. */
 const SLOW_CHUNK_PAUSE_MS = 130
 
+/** How often a load balancer looks at the readiness of nodes; well below the grace period. */
+const BALANCER_INTERVAL_MS = 500
+
 /** Slots of each backend server. */
 const SLOTS = 8
 
@@ -54,9 +57,9 @@
     await poll('all nodes know all backend servers', async () => await knowAllEndpoints(nodes))
   },
   runRequests: async ({ context, onOutcome }) => {
-    const addresses = context.nodes.map(({ callerAddress }) => callerAddress)
+    const open = new Set(context.nodes.map(({ callerAddress }) => callerAddress))
     await runTraffic({
-      addresses, callersPerTeam: CALLERS_PER_TEAM, onOutcome, shouldStop: (sent) => sent >= REQUESTS
+      open, callersPerTeam: CALLERS_PER_TEAM, onOutcome, shouldStop: (sent) => sent >= REQUESTS
     })
   },
   plannedStop: stopOneNode,
@@ -125,9 +128,11 @@
 async function stopOneNode ({ context, onOutcome }: StepOptions): Promise<void> {
   const { children, nodes } = context
   const [stopped] = nodes
+  const open = new Set(nodes.map(({ callerAddress }) => callerAddress))
   let isDone = false
+  const balancer = watchReadiness(nodes, open, () => isDone)
   const traffic = runTraffic({
-    addresses: nodes.map(({ callerAddress }) => callerAddress),
+    open,
     callersPerTeam: CALLERS_PER_TEAM,
     onOutcome,
     shouldStop: () => isDone
@@ -145,7 +150,25 @@
     await children.stopAll((name) => name.startsWith('backend') && name.endsWith(stopped!.dataCentre))
   } finally {
     isDone = true
-    await traffic
+    await Promise.all([traffic, balancer])
+  }
+}
+
+/**
+ * Takes nodes out that are not ready, as a load balancer does. A caller that goes on regardless can lose a request:
+ * when a port closes, the kernel resets connections that the process has not accepted yet.
+ */
+async function watchReadiness (
+  nodes: readonly DemoNode[],
+  open: Set<string>,
+  isDone: () => boolean
+): Promise<void> {
+  while (!isDone()) {
+    for (const { adminAddress, callerAddress } of nodes) {
+      const status = await readStatus(adminAddress, '/readyz').catch(() => 0)
+      if (status !== 200) open.delete(callerAddress)
+    }
+    await delay(BALANCER_INTERVAL_MS)
   }
 }
 
--- a/apps/demo/src/runTraffic.ts
+++ b/apps/demo/src/runTraffic.ts
@@ -10,8 +10,8 @@
 
 /** @public */
 export interface TrafficOptions {
-  /** Caller addresses; one that takes no connections any more is left out. */
-  readonly addresses: readonly string[]
+  /** Caller addresses; those that are taken out while requests run get no new ones. */
+  readonly open: Set<string>
   /** Callers of each team; each has one request open at a time. */
   readonly callersPerTeam: number
   readonly onOutcome: (outcome: RequestOutcome) => void
@@ -27,7 +27,7 @@
  */
 export async function runTraffic (options: TrafficOptions): Promise<void> {
   const agent = new Agent({ keepAlive: true })
-  const open = new Set(options.addresses)
+  const { open } = options
   let sent = 0
   const runCaller = async (team: DemoTeam, index: number): Promise<void> => {
     for (let turn = index; !options.shouldStop(sent); turn++) {
--- a/apps/demo/src/sendDemoRequest.ts
+++ b/apps/demo/src/sendDemoRequest.ts
@@ -23,7 +23,7 @@
 
 const PATHS = { lookup: '/stock/', reservation: '/bookings/', upload: '/photos/' } as const
 
-/** The port of the node is closed; nothing was sent. @internal */
+/** The node took no connection; nothing was sent. @internal */
 export class NodeClosedError extends Error {
   override readonly name = 'NodeClosedError'
 }
@@ -63,7 +63,7 @@
       }
     })
     req.on('error', (err: NodeJS.ErrnoException) => {
-      if (err.code === 'ECONNREFUSED') reject(new NodeClosedError(err.message))
+      if (err.syscall === 'connect') reject(new NodeClosedError(err.message))
       else resolve({ result: 'cut', detail: err.message })
     })
     req.on('response', (res) => { void readAnswer(res).then((body) => { resolve(judge(options, path, res, body)) }) })
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -20,8 +20,11 @@
 /** Servers that announce no keep-alive time close idle connections after 5 s at the earliest (Node, Apache). */
 const BACKEND_IDLE_MS = 4_000
 
-/** How long a backend server may take to answer `expect: 100-continue`; one that ignores it gets the body then. */
-const CONTINUE_TIMEOUT_MS = 50
+/**
+ * How long a backend server may take to answer `expect: 100-continue`; one that ignores it gets the body then. With
+ * 50 ms, busy servers that were about to shed an upload got its body, and it could not go to another endpoint.
+ */
+const CONTINUE_TIMEOUT_MS = 1_000
 
 /**
  * Share of the time left to the deadline that a backend server may be silent, when it answers probes but does not
