--- /dev/null
+++ b/packages/mesh-runtime/src/admission/ForwardedRequest.ts
@@ -0,0 +1,17 @@
+import type { ReservationId } from '@lavenderturn/mesh'
+import type { Fingerprint, Millis, RouteId, ServiceId, TeamId } from '@lavenderturn/types'
+import type { RequestHead } from '../protocol/RequestHead'
+
+/** A request on its way from a gateway to an admission. @internal */
+export interface ForwardedRequest {
+  readonly reservation: ReservationId
+  readonly route: RouteId
+  readonly team?: TeamId
+  readonly callerService: ServiceId
+  /** The caller's own id of the request. */
+  readonly callerRequestId: string
+  readonly fingerprint: Fingerprint
+  readonly timeout: Millis
+  readonly head: RequestHead
+  readonly body: Buffer
+}
--- /dev/null
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -0,0 +1,125 @@
+import {
+  type Bounds, createMeshState, type MeshIdentity, type MeshPolicies
+} from '@lavenderturn/mesh'
+import { splitAddress } from '@lavenderturn/runtime'
+import type { Address } from '@lavenderturn/types'
+import type { ConsolaInstance } from 'consola'
+import type { Server } from 'node:http'
+import { AdmissionHandler } from './admission/AdmissionHandler'
+import { createForwardServer } from './admission/createForwardServer'
+import { ConfigurationFollower } from './configuration/ConfigurationFollower'
+import type { ConfigurationSource } from './configuration/ConfigurationSource'
+import { DirectoryHandler } from './directory/DirectoryHandler'
+import type { MemberRegistry } from './directory/MemberRegistry'
+import { CallerServer } from './gateway/CallerServer'
+import { GatewayHandler } from './gateway/GatewayHandler'
+import { LifecycleHandler } from './LifecycleHandler'
+import { LogHandler } from './LogHandler'
+import { type MeshObserver, MeshRuntime } from './MeshRuntime'
+import { PeerHandler } from './peers/PeerHandler'
+import type { RequestProtocol } from './protocol/RequestProtocol'
+import type { AnnouncementProtocol } from './servers/AnnouncementProtocol'
+import { createAnnouncementServer } from './servers/createAnnouncementServer'
+import { createReadinessServer } from './servers/createReadinessServer'
+import { TimerHandler } from './TimerHandler'
+
+/** Addresses at which a node listens besides those of its identity. @public */
+export interface MeshAddresses {
+  readonly callers: Address
+  readonly announcements: Address
+  readonly readiness: Address
+  readonly metrics: Address
+}
+
+/** @public */
+export interface MeshNodeOptions {
+  readonly identity: MeshIdentity
+  readonly bounds: Bounds
+  readonly addresses: MeshAddresses
+  readonly readinessPath: string
+  readonly requestProtocol: RequestProtocol
+  readonly announcementProtocol: AnnouncementProtocol
+  readonly configurationSource: ConfigurationSource
+  readonly registry: MemberRegistry
+  readonly log: ConsolaInstance
+  readonly policies?: Partial<MeshPolicies>
+  readonly observers?: readonly MeshObserver[]
+  readonly seed?: number
+  /** Called once a planned stop has ended. */
+  readonly end: () => void
+}
+
+/** @public */
+export interface MeshNode {
+  readonly runtime: MeshRuntime
+  /**
+   * Opens the ports and joins the other nodes.
+   *
+   * @returns when all ports are open
+   */
+  readonly start: () => Promise<void>
+  /** Closes everything at once; a planned stop begins with the event `stopAsked`. */
+  readonly close: () => void
+}
+
+/**
+ * Puts a node together: state, handlers and servers.
+ *
+ * @param options - identity, addresses, and how the deployment is spoken to
+ * @returns the node, not yet started
+ * @public
+ */
+export function createMeshNode (options: MeshNodeOptions): MeshNode {
+  const { identity, bounds, addresses, log, policies, seed, observers, requestProtocol: protocol } = options
+  const runtime = new MeshRuntime({ state: createMeshState({ identity, bounds, policies, seed }), observers })
+  const peers = new PeerHandler({ runtime, log, address: identity.peerAddress })
+  const admission = new AdmissionHandler({ runtime, protocol })
+  const gateway = new GatewayHandler({ runtime, protocol, identity, admission })
+  const callerServer = new CallerServer({ runtime, handler: gateway, protocol })
+  const follower = new ConfigurationFollower({ runtime, source: options.configurationSource, log })
+  const handlers = [
+    peers,
+    admission,
+    gateway,
+    new DirectoryHandler({ runtime, registry: options.registry, log }),
+    new LifecycleHandler({ callerServer, end: options.end }),
+    new LogHandler(log),
+    new TimerHandler(runtime)
+  ]
+  for (const handler of handlers) runtime.addHandler(handler)
+  const servers: ReadonlyArray<readonly [Server, Address]> = [
+    [callerServer.server, addresses.callers],
+    [createForwardServer({ runtime, handler: admission }), identity.forwardAddress],
+    [createAnnouncementServer({ runtime, protocol: options.announcementProtocol, log }), addresses.announcements],
+    [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness]
+  ]
+  return {
+    runtime,
+    start: async () => {
+      await peers.open()
+      for (const [server, address] of servers) await listen(server, address)
+      runtime.dispatch({ slice: 'directory', type: 'nodeStarted' })
+      void follower.run()
+      log.info('node started', { node: identity.nodeId, boot: identity.bootId, service: identity.service })
+    },
+    close: () => {
+      follower.stop()
+      runtime.stop()
+      for (const [server] of servers) {
+        server.close()
+        server.closeAllConnections()
+      }
+    }
+  }
+}
+
+async function listen (server: Server, address: Address): Promise<void> {
+  const { host, port } = splitAddress(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/packages/mesh-runtime/src/peers/PeerHandler.ts
@@ -0,0 +1,92 @@
+import type { EventBody, MeshEffect, PeerMessage } from '@lavenderturn/mesh'
+import { splitAddress } from '@lavenderturn/runtime'
+import type { Address } from '@lavenderturn/types'
+import type { ConsolaInstance } from 'consola'
+import { createSocket, type Socket } from 'node:dgram'
+import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
+import { parsePeerMessage } from './peerMessageSchema'
+
+/** @internal */
+export interface PeerHandlerOptions {
+  readonly runtime: MeshRuntime
+  readonly log: ConsolaInstance
+  /** Address of this node; messages to it do not leave the process. */
+  readonly address: Address
+}
+
+/** Sends and receives datagrams between nodes. A lost one is asked for again by whoever misses the answer. @internal */
+export class PeerHandler extends MeshEffectHandler {
+  override readonly slices = ['peer'] as const
+  /** Datagrams that were dropped because they could not be read. */
+  malformed = 0
+  private readonly runtime: MeshRuntime
+  private readonly log: ConsolaInstance
+  private readonly address: Address
+  private readonly socket: Socket = createSocket('udp4')
+
+  constructor ({ runtime, log, address }: PeerHandlerOptions) {
+    super()
+    this.runtime = runtime
+    this.log = log
+    this.address = address
+    this.socket.on('message', (data) => { this.receive(data) })
+    this.socket.on('error', (err) => { this.log.warn('datagram socket failed', { error: err.message }) })
+  }
+
+  /** @returns when the socket is bound */
+  async open (): Promise<void> {
+    const { host, port } = splitAddress(this.address)
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject)
+      this.socket.bind(port, host, () => {
+        this.socket.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  override run (effect: MeshEffect): void {
+    if (effect.slice !== 'peer') return
+    if (effect.to === this.address) {
+      this.runtime.dispatch(toEvent(effect.message))
+      return
+    }
+    const { host, port } = splitAddress(effect.to)
+    this.socket.send(JSON.stringify(effect.message), port, host, (err) => {
+      // Whoever misses the answer asks again; the node's silence is noticed by its peers.
+      if (err !== null) this.log.debug('datagram not sent', { to: effect.to, error: err.message })
+    })
+  }
+
+  override stop (): void {
+    this.socket.close()
+  }
+
+  private receive (data: Buffer): void {
+    const message = parsePeerMessage(data)
+    if (message === undefined) {
+      this.malformed += 1
+      return
+    }
+    this.runtime.dispatch(toEvent(message))
+  }
+}
+
+function toEvent (message: PeerMessage): EventBody {
+  switch (message.kind) {
+    case 'beat': return { slice: 'directory', type: 'beatReceived', message }
+    case 'askSlot': return { slice: 'admission', type: 'slotAsked', message }
+    case 'slot': return { slice: 'gateway', type: 'slotAnswered', message }
+    case 'release': return { slice: 'admission', type: 'slotReleased', reservation: message.reservation }
+    case 'cancel': return { slice: 'admission', type: 'workCancelled', reservation: message.reservation }
+    case 'started': return { slice: 'gateway', type: 'attemptStarted', reservation: message.reservation }
+    case 'recall': {
+      const { reservation, replyTo } = message
+      return { slice: 'admission', type: 'workRecalled', reservation, replyTo }
+    }
+    case 'recalled': return { slice: 'gateway', type: 'attemptRecalled', message }
+    case 'askToken': return { slice: 'quota', type: 'tokenAsked', message }
+    case 'token': return { slice: 'gateway', type: 'tokenAnswered', message }
+    case 'crash': return { slice: 'admission', type: 'crashReported', message }
+  }
+}
--- /dev/null
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -0,0 +1,74 @@
+import type { PeerMessage } from '@lavenderturn/mesh'
+import * as z from 'zod/mini'
+
+const id = z.string().check(z.minLength(1), z.maxLength(200))
+const count = z.number().check(z.nonnegative())
+
+const load = z.object({
+  open: z.boolean(), slots: count, used: count, queued: count, suspect: z.boolean(), serviceMs: count
+})
+
+const refusal = z.enum(['closed', 'evacuated', 'suspect', 'wrongService', 'expired', 'full'])
+
+/** What a datagram may hold. A datagram that does not match is dropped and counted. @internal */
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('beat'),
+    node: id,
+    boot: id,
+    dataCentre: id,
+    service: id,
+    peerAddress: id,
+    forwardAddress: id,
+    load,
+    revision: count,
+    leaving: z.boolean()
+  }),
+  z.object({
+    kind: z.literal('askSlot'),
+    reservation: id,
+    replyTo: id,
+    service: id,
+    priority: z.number(),
+    repeatable: z.boolean(),
+    force: z.boolean(),
+    waitMs: count
+  }),
+  z.object({
+    kind: z.literal('slot'),
+    reservation: id,
+    verdict: z.enum(['granted', 'queued', 'refused']),
+    refusal: z.optional(refusal),
+    load
+  }),
+  z.object({ kind: z.literal('release'), reservation: id }),
+  z.object({ kind: z.literal('cancel'), reservation: id }),
+  z.object({ kind: z.literal('started'), reservation: id }),
+  z.object({ kind: z.literal('recall'), reservation: id, replyTo: id }),
+  z.object({
+    kind: z.literal('recalled'), reservation: id, fate: z.enum(['notStarted', 'running', 'done', 'unknown'])
+  }),
+  z.object({ kind: z.literal('askToken'), grant: id, node: id, replyTo: id, team: id }),
+  z.object({ kind: z.literal('token'), grant: id, granted: z.boolean(), waitMs: count }),
+  z.object({ kind: z.literal('crash'), fingerprint: id, endpoint: id, startedAt: z.number() })
+])
+
+/**
+ * Reads a datagram.
+ *
+ * @param data - the datagram
+ * @returns the message, or undefined if it is none
+ * @internal
+ */
+export function parsePeerMessage (data: Uint8Array): PeerMessage | undefined {
+  let value: unknown
+  try {
+    value = JSON.parse(Buffer.from(data.buffer, data.byteOffset, data.byteLength).toString())
+  } catch {
+    // Anything may arrive on a port; the caller counts what cannot be read.
+    return undefined
+  }
+  const parsed = peerMessageSchema.safeParse(value)
+  // The schema checks the shapes; brands exist only at compile time.
+  return parsed.success ? parsed.data as unknown as PeerMessage : undefined
+}
--- /dev/null
+++ b/packages/mesh/src/MeshEffect.ts
@@ -0,0 +1,45 @@
+import type { Address, Millis, TimerId } from '@lavenderturn/types'
+import type { AdmissionEffect } from './admission/AdmissionEffect'
+import type { DirectoryEffect } from './directory/DirectoryEffect'
+import type { GatewayEffect } from './gateway/GatewayEffect'
+import type { LifecycleEffect } from './lifecycle/LifecycleEffect'
+import type { EventBody } from './MeshEvent'
+import type { PeerMessage } from './messages/PeerMessage'
+
+/** Starts or clears a timer; a timer that is set again is replaced. @public */
+export type TimerEffect =
+  | {
+    readonly slice: 'timer',
+    readonly type: 'set',
+    readonly id: TimerId,
+    readonly delay: Millis,
+    readonly event: EventBody
+  }
+  | { readonly slice: 'timer', readonly type: 'clear', readonly id: TimerId }
+
+/** Sends a datagram to another node, or to this one. @public */
+export interface SendEffect {
+  readonly slice: 'peer'
+  readonly type: 'send'
+  readonly to: Address
+  readonly message: PeerMessage
+}
+
+/** Writes a log line. @public */
+export interface LogEffect {
+  readonly slice: 'log'
+  readonly type: 'line'
+  readonly level: 'debug' | 'info' | 'warn'
+  readonly message: string
+  readonly fields: Readonly<Record<string, string | number | boolean | undefined>>
+}
+
+/** Everything that the reducer can ask of the runtime. @public */
+export type MeshEffect =
+  | AdmissionEffect
+  | DirectoryEffect
+  | GatewayEffect
+  | LifecycleEffect
+  | LogEffect
+  | SendEffect
+  | TimerEffect
--- /dev/null
+++ b/packages/mesh/src/MeshEvent.ts
@@ -0,0 +1,29 @@
+import type { Millis } from '@lavenderturn/types'
+import type { AdmissionEvent } from './admission/AdmissionEvent'
+import type { ConfigurationEvent } from './configuration/ConfigurationEvent'
+import type { DirectoryEvent } from './directory/DirectoryEvent'
+import type { GatewayEvent } from './gateway/GatewayEvent'
+import type { LifecycleEvent } from './lifecycle/LifecycleEvent'
+import type { QuotaEvent } from './quota/QuotaEvent'
+
+/** Fields of every event. @public */
+export interface EventBase {
+  /** Steady time of the process at which the event happened. */
+  readonly at: Millis
+  /** Time of day at which the event happened. */
+  readonly wallAt: Millis
+}
+
+/** Everything that can happen to a node. @public */
+export type MeshEvent =
+  | AdmissionEvent
+  | ConfigurationEvent
+  | DirectoryEvent
+  | GatewayEvent
+  | LifecycleEvent
+  | QuotaEvent
+
+type DistributiveOmit<Union, Key extends PropertyKey> = Union extends unknown ? Omit<Union, Key> : never
+
+/** An event that has not happened yet; the runtime adds the times. @public */
+export type EventBody = DistributiveOmit<MeshEvent, keyof EventBase>
--- /dev/null
+++ b/packages/mesh/src/MeshState.ts
@@ -0,0 +1,82 @@
+import { type Address, type DataCentreId, type Millis, millis, type NodeId, type ServiceId } from '@lavenderturn/types'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+import { type AdmissionState, createAdmissionState } from './admission/AdmissionState'
+import type { Bounds } from './Bounds'
+import { type ConfigurationState, createConfigurationState } from './configuration/ConfigurationState'
+import { createDirectoryState, type DirectoryState } from './directory/DirectoryState'
+import { createGatewayState, type GatewayState } from './gateway/GatewayState'
+import { createLifecycleState, type LifecycleState } from './lifecycle/LifecycleState'
+import { createMeshPolicies, type MeshPolicies } from './MeshPolicies'
+import { createQuarantineState, type QuarantineState } from './quarantine/QuarantineState'
+import { createQuotaState, type QuotaState } from './quota/QuotaState'
+
+/** Who and where a node is; fixed by its settings. @public */
+export interface MeshIdentity {
+  /** Name of the instance. A restarted process keeps it. */
+  readonly nodeId: NodeId
+  /** Distinguishes the processes that have run under the same name. */
+  readonly bootId: string
+  readonly dataCentre: DataCentreId
+  /** Service of the backend server on this instance. */
+  readonly service: ServiceId
+  /** Where other nodes send datagrams. */
+  readonly peerAddress: Address
+  /** Where other nodes send requests. */
+  readonly forwardAddress: Address
+  /** Where the backend server of this instance listens. */
+  readonly backendAddress: Address
+}
+
+/** The whole state of a node. Only `reduceMesh` changes it. @public */
+export interface MeshState {
+  readonly identity: MeshIdentity
+  readonly bounds: Bounds
+  readonly policies: MeshPolicies
+  readonly random: RandomGenerator
+  /** Steady time of the latest event. */
+  now: Millis
+  /** Time of day of the latest event. */
+  wallNow: Millis
+  readonly admission: AdmissionState
+  readonly configuration: ConfigurationState
+  readonly directory: DirectoryState
+  readonly gateway: GatewayState
+  readonly lifecycle: LifecycleState
+  readonly quarantine: QuarantineState
+  readonly quota: QuotaState
+}
+
+/** @public */
+export interface MeshStateOptions {
+  readonly identity: MeshIdentity
+  readonly bounds: Bounds
+  readonly policies?: Partial<MeshPolicies>
+  /** Seed of the node's random generator. */
+  readonly seed?: number
+}
+
+/**
+ * Creates the state of a node that has just started.
+ *
+ * @param options - identity, bounds, policies and seed
+ * @returns the state
+ * @public
+ */
+export function createMeshState ({ identity, bounds, policies, seed = 1 }: MeshStateOptions): MeshState {
+  return {
+    identity,
+    bounds,
+    policies: createMeshPolicies(policies),
+    random: xoroshiro128plus(seed),
+    now: millis(0),
+    wallNow: millis(0),
+    admission: createAdmissionState(),
+    configuration: createConfigurationState(),
+    directory: createDirectoryState(),
+    gateway: createGatewayState(),
+    lifecycle: createLifecycleState(),
+    quarantine: createQuarantineState(),
+    quota: createQuotaState()
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/admission/ErrorLikelihood.ts
@@ -0,0 +1,51 @@
+import type { Millis } from '@lavenderturn/types'
+import { GrayDetection, type GrayEvidence, type GrayState } from './GrayDetection'
+
+/** Share of healthy servers' requests that fail. */
+const HEALTHY_ERROR_SHARE = 0.02
+
+/** Share of a partially faulty server's requests that fail. */
+const GRAY_ERROR_SHARE = 0.6
+
+/** Share of healthy servers' requests that take several times as long as usual. */
+const HEALTHY_OVERDUE_SHARE = 0.03
+
+/** Share of a faulty server's requests that hang. */
+const GRAY_OVERDUE_SHARE = 0.3
+
+/** Odds of a partial fault without any evidence. */
+const PRIOR_LOG_ODDS = Math.log(0.04 / 0.96)
+
+/** Keeps the way back short after a long fault. */
+const MAX_LOG_ODDS = 4
+
+/** Probability above which a server is suspect: 0.25. One error reaches it, and two successes lead back. */
+const SUSPECT_LOG_ODDS = Math.log(0.25 / 0.75)
+
+/** Time constant with which evidence loses its weight; partial faults last some seconds. */
+const EVIDENCE_LIFETIME_MS = 6_000
+
+const WEIGHTS: Readonly<Record<GrayEvidence, number>> = {
+  error: Math.log(GRAY_ERROR_SHARE / HEALTHY_ERROR_SHARE),
+  success: Math.log((1 - GRAY_ERROR_SHARE) / (1 - HEALTHY_ERROR_SHARE)),
+  overdue: Math.log(GRAY_OVERDUE_SHARE / HEALTHY_OVERDUE_SHARE)
+}
+
+/** Compares how likely the results are under health and under a partial fault. @public */
+export class ErrorLikelihood extends GrayDetection {
+  override observe (gray: GrayState, evidence: GrayEvidence, now: Millis): void {
+    const logOdds = readLogOdds(gray, now) + WEIGHTS[evidence]
+    gray.logOdds = Math.min(MAX_LOG_ODDS, Math.max(PRIOR_LOG_ODDS, logOdds))
+    gray.updatedAt = now
+  }
+
+  override isSuspect (gray: GrayState, now: Millis): boolean {
+    return readLogOdds(gray, now) > SUSPECT_LOG_ODDS
+  }
+}
+
+function readLogOdds ({ logOdds, updatedAt }: GrayState, now: Millis): number {
+  if (logOdds <= PRIOR_LOG_ODDS) return PRIOR_LOG_ODDS
+  const remaining = Math.exp((updatedAt - now) / EVIDENCE_LIFETIME_MS)
+  return PRIOR_LOG_ODDS + (logOdds - PRIOR_LOG_ODDS) * remaining
+}
--- /dev/null
+++ b/packages/mesh/src/admission/GrayDetection.ts
@@ -0,0 +1,38 @@
+import { type Millis, millis } from '@lavenderturn/types'
+
+/** What is known of a backend server's partial faults. @public */
+export interface GrayState {
+  /** Natural logarithm of the odds that the server fails a large part of its requests now. */
+  logOdds: number
+  updatedAt: Millis
+}
+
+/** How a request ended, as far as it tells of a partial fault. @public */
+export type GrayEvidence = 'success' | 'error' | 'overdue'
+
+/** Decides from results whether a backend server has a partial fault. @public */
+export abstract class GrayDetection {
+  /**
+   * Takes one result into account.
+   *
+   * @param gray - what is known; updated in place
+   * @param evidence - the result
+   * @param now - steady time
+   */
+  abstract observe (gray: GrayState, evidence: GrayEvidence, now: Millis): void
+
+  /**
+   * @param gray - what is known
+   * @param now - steady time
+   * @returns whether requests that may not be repeated should go elsewhere
+   */
+  abstract isSuspect (gray: GrayState, now: Millis): boolean
+}
+
+/**
+ * @returns the state of a server without results
+ * @internal
+ */
+export function createGrayState (): GrayState {
+  return { logOdds: Number.NEGATIVE_INFINITY, updatedAt: millis(0) }
+}
--- /dev/null
+++ b/packages/mesh/src/admission/admissionTimings.ts
@@ -0,0 +1,34 @@
+import { millis } from '@lavenderturn/types'
+
+/** How long a granted slot waits for its request; a machine whose quota is used up stands still for 100 ms. */
+export const GRANT_LIFETIME = millis(400)
+
+/** How long a granted slot waits for the rest of a request whose head has arrived; slow links take long for uploads. */
+export const BODY_LIFETIME = millis(3_000)
+
+/** How long work goes on after the connection to its gateway broke, so that the gateway can come back for it. */
+export const DETACHED_LIFETIME = millis(350)
+
+/** How long a result is kept for a gateway whose connection broke. */
+export const RESULT_LIFETIME = millis(4_000)
+
+/** Pause between two trials of a suspect server. */
+export const TRIAL_INTERVAL = millis(150)
+
+/** Announcements that may be missing before a server counts as gone. */
+export const MISSED_ANNOUNCEMENTS = 4
+
+/** Window over which the rate of requests to a cold server is bounded. */
+export const COLD_WINDOW = millis(1_000)
+
+/** Work is overdue after this multiple of its route's usual time. */
+export const OVERDUE_FACTOR = 4
+
+/** Work is never overdue before this time. */
+export const LEAST_OVERDUE = millis(600)
+
+/** Usual service time of a route that has not run yet. */
+export const UNKNOWN_SERVICE_MS = 500
+
+/** How long after a broken run a crash of the server is put down to it. */
+export const CRASH_WINDOW = millis(5_000)
--- /dev/null
+++ b/packages/mesh/src/admission/askSlot.ts
@@ -0,0 +1,69 @@
+import { addMillis, millis } from '@lavenderturn/types'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { AskSlotMessage, SlotRefusal } from '../messages/PeerMessage'
+import type { SlotAsked } from './AdmissionEvent'
+import type { Reservation } from './AdmissionState'
+import { findClosure } from './findClosure'
+import { refuseReservation, startQueued } from './startQueued'
+import { summarizeLoad } from './summarizeLoad'
+
+/** Reservations that may wait for each slot. */
+const QUEUE_PER_SLOT = 12
+
+/**
+ * Grants, queues or refuses a reservation.
+ *
+ * @param state - the node's state
+ * @param event - the question
+ * @returns effects
+ * @internal
+ */
+export function askSlot (state: MeshState, { message }: SlotAsked): MeshEffect[] {
+  const { reservations } = state.admission
+  // A datagram may arrive twice.
+  if (reservations.has(message.reservation)) return []
+  const refusal = findRefusal(state, message)
+  if (refusal !== undefined) {
+    return [refuseReservation(state, { id: message.reservation, gateway: message.replyTo }, refusal)]
+  }
+  const reservation = createReservation(state, message)
+  reservations.set(reservation.id, reservation)
+  const effects = startQueued(state)
+  if (reservation.phase === 'queued' && reservations.has(reservation.id)) {
+    const load = summarizeLoad(state)
+    effects.push({
+      slice: 'peer',
+      type: 'send',
+      to: message.replyTo,
+      message: { kind: 'slot', reservation: reservation.id, verdict: 'queued', load }
+    })
+  }
+  return effects
+}
+
+function findRefusal (state: MeshState, message: AskSlotMessage): SlotRefusal | undefined {
+  if (message.service !== state.identity.service) return 'wrongService'
+  const closure = findClosure(state)
+  if (closure !== undefined) return closure
+  const { admission, now, policies } = state
+  if (!message.force && policies.grayDetection.isSuspect(admission.gray, now)) {
+    if (!message.repeatable || now < admission.nextTrialAt) return 'suspect'
+  }
+  const { queued, slots } = summarizeLoad(state)
+  return queued >= slots * QUEUE_PER_SLOT ? 'full' : undefined
+}
+
+function createReservation ({ now }: MeshState, message: AskSlotMessage): Reservation {
+  return {
+    id: message.reservation,
+    gateway: message.replyTo,
+    priority: message.priority,
+    repeatable: message.repeatable,
+    force: message.force,
+    askedAt: now,
+    expiresAt: addMillis(now, millis(message.waitMs)),
+    phase: 'queued',
+    trial: false
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/admission/reduceAdmission.ts
@@ -0,0 +1,100 @@
+import { toId } from '@lavenderturn/types'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { RecalledMessage } from '../messages/PeerMessage'
+import { addCrash } from '../quarantine/addCrash'
+import { BODY_LIFETIME, DETACHED_LIFETIME } from './admissionTimings'
+import type { AdmissionEvent, WorkRecalled } from './AdmissionEvent'
+import { announceServer, withdrawServer } from './announceServer'
+import { askSlot } from './askSlot'
+import { endWork, observeEvidence } from './endWork'
+import type { ReservationId } from './ReservationId'
+import { startQueued } from './startQueued'
+import { startWork } from './startWork'
+import { voidReservation } from './voidReservation'
+
+/**
+ * @param state - the node's state
+ * @param event - an event of the admission
+ * @returns effects
+ * @internal
+ */
+export function reduceAdmission (state: MeshState, event: AdmissionEvent): MeshEffect[] {
+  switch (event.type) {
+    case 'serverAnnounced': return announceServer(state, event)
+    case 'serverWithdrawn': return withdrawServer(state, event)
+    case 'slotAsked': return askSlot(state, event)
+    case 'slotReleased': return releaseSlot(state, event.reservation)
+    case 'grantExpired': return voidReservation(state, event.reservation)
+    case 'queueDue': return startQueued(state)
+    case 'workArriving': return extendGrant(state, event.reservation)
+    case 'workArrived': return startWork(state, event)
+    case 'workOverdue': return observeOverdue(state, event.reservation)
+    case 'workEnded': return endWork(state, event)
+    case 'workCancelled': return cancelWork(state, event.reservation)
+    case 'workDetached': return detachWork(state, event.reservation)
+    case 'workAttached': return [{ slice: 'timer', type: 'clear', id: toId(`detached/${event.reservation}`) }]
+    case 'workRecalled': return recallWork(state, event)
+    case 'resultExpired': return forgetResult(state, event.reservation)
+    case 'crashReported':
+      addCrash(state, event.message)
+      return []
+  }
+}
+
+function releaseSlot (state: MeshState, id: ReservationId): MeshEffect[] {
+  const { reservations } = state.admission
+  const phase = reservations.get(id)?.phase
+  if (phase !== 'queued' && phase !== 'granted') return []
+  reservations.delete(id)
+  return [{ slice: 'timer', type: 'clear', id: toId(`grant/${id}`) }, ...startQueued(state)]
+}
+
+function extendGrant (state: MeshState, id: ReservationId): MeshEffect[] {
+  if (state.admission.reservations.get(id)?.phase !== 'granted') return []
+  const event = { slice: 'admission', type: 'grantExpired', reservation: id } as const
+  return [{ slice: 'timer', type: 'set', id: toId(`grant/${id}`), delay: BODY_LIFETIME, event }]
+}
+
+function observeOverdue (state: MeshState, id: ReservationId): MeshEffect[] {
+  return state.admission.reservations.get(id)?.phase === 'running' ? observeEvidence(state, 'overdue') : []
+}
+
+function cancelWork (state: MeshState, id: ReservationId): MeshEffect[] {
+  const reservation = state.admission.reservations.get(id)
+  if (reservation === undefined) return []
+  // The slot of running work is freed when its exchange has ended.
+  if (reservation.phase === 'running') return [{ slice: 'admission', type: 'abort', reservation: id }]
+  if (reservation.phase === 'done') return forgetResult(state, id)
+  return releaseSlot(state, id)
+}
+
+function detachWork (state: MeshState, id: ReservationId): MeshEffect[] {
+  if (state.admission.reservations.get(id)?.phase !== 'running') return []
+  const event = { slice: 'admission', type: 'workCancelled', reservation: id } as const
+  return [{ slice: 'timer', type: 'set', id: toId(`detached/${id}`), delay: DETACHED_LIFETIME, event }]
+}
+
+function recallWork (state: MeshState, { reservation: id, replyTo: to }: WorkRecalled): MeshEffect[] {
+  const fate = findFate(state, id)
+  const effects: MeshEffect[] = [{ slice: 'peer', type: 'send', to, message: { kind: 'recalled', reservation: id, fate } }]
+  return fate === 'notStarted' ? effects.concat(voidReservation(state, id)) : effects
+}
+
+/** A reservation that is not known may have run and been forgotten, so that nothing is promised of it. */
+function findFate (state: MeshState, id: ReservationId): RecalledMessage['fate'] {
+  const phase = state.admission.reservations.get(id)?.phase
+  if (phase === undefined) return 'unknown'
+  if (phase === 'running' || phase === 'done') return phase
+  return 'notStarted'
+}
+
+function forgetResult (state: MeshState, id: ReservationId): MeshEffect[] {
+  const phase = state.admission.reservations.get(id)?.phase
+  if (phase !== 'done' && phase !== 'void') return []
+  state.admission.reservations.delete(id)
+  return [
+    { slice: 'timer', type: 'clear', id: toId(`result/${id}`) },
+    { slice: 'admission', type: 'forget', reservation: id }
+  ]
+}
--- /dev/null
+++ b/packages/mesh/src/configuration/ConfigurationState.ts
@@ -0,0 +1,27 @@
+import type { DataCentreId, Millis } from '@lavenderturn/types'
+import type { FleetConfiguration } from './FleetConfiguration'
+
+/** When the store last confirmed the configuration that is in force. */
+export interface Confirmation {
+  /** Steady clock of this process. */
+  readonly steadyAt: Millis
+  /** Time of day; counts while the machine is suspended, when the steady clock may stand still. */
+  readonly wallAt: Millis
+}
+
+/** @public */
+export interface ConfigurationState {
+  /** Absent until the first configuration has been read. */
+  current?: FleetConfiguration
+  /** Data centres that operators have taken out. */
+  evacuated: ReadonlySet<DataCentreId>
+  confirmed?: Confirmation
+}
+
+/**
+ * @returns the state of a node that has read no configuration
+ * @internal
+ */
+export function createConfigurationState (): ConfigurationState {
+  return { evacuated: new Set() }
+}
--- /dev/null
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -0,0 +1,39 @@
+import { handBackQueue } from '../admission/handBackQueue'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { ConfigurationRead } from './ConfigurationEvent'
+
+/**
+ * Takes over what the store says; a configuration never gives way to one of a lower revision.
+ *
+ * @param state - the node's state
+ * @param event - what was read
+ * @returns effects
+ * @internal
+ */
+export function reduceConfiguration (state: MeshState, event: ConfigurationRead): MeshEffect[] {
+  const held = state.configuration
+  const effects: MeshEffect[] = []
+  held.confirmed = event.confirmed
+  if (event.configuration !== undefined) {
+    const { revision } = event.configuration
+    if (held.current === undefined || held.current.revision < revision) {
+      held.current = event.configuration
+      effects.push({
+        slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields: { revision }
+      })
+    }
+  }
+  if (event.evacuated !== undefined) {
+    const changed = [...event.evacuated].join() !== [...held.evacuated].join()
+    held.evacuated = event.evacuated
+    if (changed) {
+      const dataCentres = [...event.evacuated].join()
+      effects.push({
+        slice: 'log', type: 'line', level: 'info', message: 'data centres taken out', fields: { dataCentres }
+      })
+    }
+    if (held.evacuated.has(state.identity.dataCentre)) effects.push(...handBackQueue(state, 'evacuated'))
+  }
+  return effects
+}
--- /dev/null
+++ b/packages/mesh/src/directory/DirectoryEvent.ts
@@ -0,0 +1,32 @@
+import type { EventBase } from '../MeshEvent'
+import type { BeatMessage } from '../messages/PeerMessage'
+import type { MemberRecord } from './Member'
+
+/** The process has opened its ports. @public */
+export interface NodeStarted extends EventBase {
+  readonly slice: 'directory'
+  readonly type: 'nodeStarted'
+}
+
+/** The registry of the store was read after this node had written its own record. @public */
+export interface RegistryRead extends EventBase {
+  readonly slice: 'directory'
+  readonly type: 'registryRead'
+  readonly records: readonly MemberRecord[]
+}
+
+/** Another node's beat arrived. @public */
+export interface BeatReceived extends EventBase {
+  readonly slice: 'directory'
+  readonly type: 'beatReceived'
+  readonly message: BeatMessage
+}
+
+/** Time for this node's next beat. @public */
+export interface BeatDue extends EventBase {
+  readonly slice: 'directory'
+  readonly type: 'beatDue'
+}
+
+/** @public */
+export type DirectoryEvent = BeatDue | BeatReceived | NodeStarted | RegistryRead
--- /dev/null
+++ b/packages/mesh/src/directory/DirectoryState.ts
@@ -0,0 +1,21 @@
+import { type Millis, millis, type NodeId } from '@lavenderturn/types'
+import type { Member } from './Member'
+
+/** @public */
+export interface DirectoryState {
+  /** All other nodes and this one. */
+  readonly members: Map<NodeId, Member>
+  /** Whether this node has written its own record and read those of the others. */
+  registered: boolean
+  /** Number of the next beat; beats to other data centres are sent less often. */
+  nextBeat: number
+  registryReadAt: Millis
+}
+
+/**
+ * @returns a directory without members
+ * @internal
+ */
+export function createDirectoryState (): DirectoryState {
+  return { members: new Map(), registered: false, nextBeat: 0, registryReadAt: millis(0) }
+}
--- /dev/null
+++ b/packages/mesh/src/directory/Member.ts
@@ -0,0 +1,30 @@
+import type { Address, DataCentreId, Millis, NodeId, Revision, ServiceId } from '@lavenderturn/types'
+import type { LoadSummary } from '../messages/PeerMessage'
+
+/** What the registry holds of a node. @public */
+export interface MemberRecord {
+  readonly node: NodeId
+  readonly boot: string
+  readonly dataCentre: DataCentreId
+  readonly service: ServiceId
+  readonly peerAddress: Address
+  readonly forwardAddress: Address
+}
+
+/** A node, and what this node knows of it. @public */
+export interface Member extends MemberRecord {
+  /** When this node first knew of it. */
+  readonly knownSince: Millis
+  /** When its latest datagram arrived. */
+  heardAt: Millis
+  leaving: boolean
+  /** Revision of the configuration that it last said to hold. */
+  revision: Revision
+  load: LoadSummary
+  /** When `load` was received. */
+  loadAt: Millis
+  /** Until when the path to it is avoided, after it left questions unanswered. */
+  avoidUntil: Millis
+  /** Questions in a row that it left unanswered. */
+  missed: number
+}
--- /dev/null
+++ b/packages/mesh/src/directory/describeSelf.ts
@@ -0,0 +1,30 @@
+import { summarizeLoad } from '../admission/summarizeLoad'
+import type { MeshState } from '../MeshState'
+import type { BeatMessage } from '../messages/PeerMessage'
+import { toId } from '@lavenderturn/types'
+import type { MemberRecord } from './Member'
+
+/**
+ * @param state - the node's state
+ * @returns this node's record in the registry
+ * @internal
+ */
+export function describeRecord ({ identity }: MeshState): MemberRecord {
+  const { nodeId: node, bootId: boot, dataCentre, service, peerAddress, forwardAddress } = identity
+  return { node, boot, dataCentre, service, peerAddress, forwardAddress }
+}
+
+/**
+ * @param state - the node's state
+ * @returns this node's beat
+ * @internal
+ */
+export function composeBeat (state: MeshState): BeatMessage {
+  return {
+    kind: 'beat',
+    ...describeRecord(state),
+    load: summarizeLoad(state),
+    revision: state.configuration.current?.revision ?? toId(0),
+    leaving: state.lifecycle.stopping
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/directory/directoryTimings.ts
@@ -0,0 +1,19 @@
+import { millis } from '@lavenderturn/types'
+
+/** Time between two beats. A crashed node is noticed by the fourth missing one. */
+export const BEAT_INTERVAL = millis(500)
+
+/** Every how manieth beat goes to other data centres as well, where bytes cost the most. */
+export const REMOTE_BEAT_EVERY = 3
+
+/** Silence after which a node counts as gone: three beats to other data centres, and one lost datagram. */
+export const SILENCE_LIMIT = millis(5_000)
+
+/** Silence after which a node no longer counts towards the fleet's size; longer than usual partitions. */
+export const REMOVAL_LIMIT = millis(20_000)
+
+/** Time between two readings of the registry; nodes that found each other need it only after lost datagrams. */
+export const REGISTRY_INTERVAL = millis(30_000)
+
+/** Time after the start until the registry is read once more: the record of a node may have been written late. */
+export const FIRST_REGISTRY_REPEAT = millis(4_000)
--- /dev/null
+++ b/packages/mesh/src/directory/isAlive.ts
@@ -0,0 +1,13 @@
+import type { MeshState } from '../MeshState'
+import { SILENCE_LIMIT } from './directoryTimings'
+import type { Member } from './Member'
+
+/**
+ * @param state - the node's state
+ * @param member - a member
+ * @returns whether the member runs and can be reached, as far as this node knows
+ * @internal
+ */
+export function isAlive (state: MeshState, member: Member): boolean {
+  return member.node === state.identity.nodeId || state.now - member.heardAt < SILENCE_LIMIT
+}
--- /dev/null
+++ b/packages/mesh/src/directory/recordMissed.ts
@@ -0,0 +1,23 @@
+import { addMillis, millis, type NodeId } from '@lavenderturn/types'
+import type { MeshState } from '../MeshState'
+
+/** How long a path is avoided after one unanswered question; doubles with each further one. */
+const FIRST_AVOIDANCE_MS = 400
+
+/** The longest time that a path is avoided before it is tried again. */
+const LONGEST_AVOIDANCE_MS = 3_000
+
+/**
+ * Notes that a node left a question unanswered, and avoids the path to it for a while.
+ *
+ * @param state - the node's state
+ * @param node - the silent node
+ * @internal
+ */
+export function recordMissed (state: MeshState, node: NodeId): void {
+  const member = state.directory.members.get(node)
+  if (member === undefined) return
+  const avoidance = Math.min(LONGEST_AVOIDANCE_MS, FIRST_AVOIDANCE_MS * 2 ** member.missed)
+  member.missed += 1
+  member.avoidUntil = addMillis(state.now, millis(avoidance))
+}
--- /dev/null
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -0,0 +1,144 @@
+import { millis, type NodeId, toId } from '@lavenderturn/types'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { BeatReceived, DirectoryEvent, RegistryRead } from './DirectoryEvent'
+import { composeBeat, describeRecord } from './describeSelf'
+import {
+  BEAT_INTERVAL, FIRST_REGISTRY_REPEAT, REGISTRY_INTERVAL, REMOTE_BEAT_EVERY, REMOVAL_LIMIT
+} from './directoryTimings'
+import type { Member, MemberRecord } from './Member'
+
+/**
+ * @param state - the node's state
+ * @param event - an event of the directory
+ * @returns effects
+ * @internal
+ */
+export function reduceDirectory (state: MeshState, event: DirectoryEvent): MeshEffect[] {
+  switch (event.type) {
+    case 'nodeStarted': return startNode(state)
+    case 'registryRead': return readRegistry(state, event)
+    case 'beatReceived': return receiveBeat(state, event)
+    case 'beatDue': return sendBeats(state)
+  }
+}
+
+function startNode (state: MeshState): MeshEffect[] {
+  adoptRecord(state, describeRecord(state))
+  return [{ slice: 'directory', type: 'syncRegistry', own: describeRecord(state) }, scheduleBeat()]
+}
+
+function scheduleBeat (): MeshEffect {
+  const event = { slice: 'directory', type: 'beatDue' } as const
+  return { slice: 'timer', type: 'set', id: toId('directory/beat'), delay: BEAT_INTERVAL, event }
+}
+
+function readRegistry (state: MeshState, { records }: RegistryRead): MeshEffect[] {
+  const { directory } = state
+  const first = !directory.registered
+  directory.registered = true
+  directory.registryReadAt = state.now
+  const effects: MeshEffect[] = []
+  const beat = composeBeat(state)
+  for (const record of records) {
+    // The others may have read the registry before this node's record was in it; the beat makes it known.
+    if (adoptRecord(state, record)) effects.push({ slice: 'peer', type: 'send', to: record.peerAddress, message: beat })
+  }
+  forgetRemoved(state, records)
+  if (first) {
+    const fields = { members: directory.members.size }
+    effects.push({ slice: 'log', type: 'line', level: 'info', message: 'registry read', fields })
+    // Counts as read long ago, so that the next reading follows soon.
+    directory.registryReadAt = millis(state.now - REGISTRY_INTERVAL + FIRST_REGISTRY_REPEAT)
+  }
+  return effects
+}
+
+function forgetRemoved (state: MeshState, records: readonly MemberRecord[]): void {
+  const listed = new Set(records.map(({ node }) => node))
+  for (const member of [...state.directory.members.values()]) {
+    const silent = state.now - member.heardAt > REMOVAL_LIMIT
+    if (member.node !== state.identity.nodeId && silent && !listed.has(member.node)) {
+      state.directory.members.delete(member.node)
+    }
+  }
+}
+
+function receiveBeat (state: MeshState, { message }: BeatReceived): MeshEffect[] {
+  if (message.node === state.identity.nodeId) return []
+  const isNew = adoptRecord(state, message)
+  const member = state.directory.members.get(message.node)!
+  // A beat of an earlier process of that node came late.
+  if (member.boot !== message.boot) return []
+  member.heardAt = state.now
+  member.load = message.load
+  member.loadAt = state.now
+  member.revision = message.revision
+  member.leaving = message.leaving
+  if (!isNew) return []
+  return [{ slice: 'peer', type: 'send', to: message.peerAddress, message: composeBeat(state) }]
+}
+
+/** @returns whether the record was not known before */
+function adoptRecord (state: MeshState, record: MemberRecord): boolean {
+  const { members } = state.directory
+  const held = members.get(record.node)
+  // Boot ids begin with the time of the start, so that the later process has the greater one.
+  if (held !== undefined && held.boot >= record.boot) return false
+  dropOthersAt(members, record)
+  members.set(record.node, createMember(state, record))
+  return true
+}
+
+/** Drops the records of nodes that had the address before. */
+function dropOthersAt (members: Map<NodeId, Member>, record: MemberRecord): void {
+  for (const [node, { peerAddress, boot }] of members) {
+    if (node !== record.node && peerAddress === record.peerAddress && boot < record.boot) members.delete(node)
+  }
+}
+
+function createMember (state: MeshState, record: MemberRecord): Member {
+  const { node, boot, dataCentre, service, peerAddress, forwardAddress } = record
+  return {
+    node,
+    boot,
+    dataCentre,
+    service,
+    peerAddress,
+    forwardAddress,
+    knownSince: state.now,
+    heardAt: state.now,
+    leaving: false,
+    revision: toId(0),
+    load: { open: true, slots: 1, used: 0, queued: 0, suspect: false, serviceMs: 0 },
+    loadAt: millis(0),
+    avoidUntil: millis(0),
+    missed: 0
+  }
+}
+
+function sendBeats (state: MeshState): MeshEffect[] {
+  const { directory, identity } = state
+  const message = composeBeat(state)
+  const toAll = directory.nextBeat++ % REMOTE_BEAT_EVERY === 0
+  const effects: MeshEffect[] = [scheduleBeat()]
+  for (const member of directory.members.values()) {
+    if (member.node === identity.nodeId || member.leaving) continue
+    if (!toAll && member.dataCentre !== identity.dataCentre) continue
+    effects.push({ slice: 'peer', type: 'send', to: member.peerAddress, message })
+  }
+  effects.push(...cleanRegistry(state))
+  if (directory.registered && state.now - directory.registryReadAt > REGISTRY_INTERVAL) {
+    directory.registryReadAt = state.now
+    effects.push({ slice: 'directory', type: 'syncRegistry', own: describeRecord(state) })
+  }
+  return effects
+}
+
+/** Drops nodes that left on purpose; the fleet no longer divides anything among them. */
+function cleanRegistry (state: MeshState): MeshEffect[] {
+  for (const member of [...state.directory.members.values()]) {
+    if (member.leaving && state.now - member.heardAt > REMOVAL_LIMIT) state.directory.members.delete(member.node)
+  }
+  return []
+}
--- /dev/null
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -0,0 +1,77 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { isAlive } from '../directory/isAlive'
+import type { Member } from '../directory/Member'
+import type { MeshState } from '../MeshState'
+import { CandidateRanking } from './CandidateRanking'
+import type { GatewayRequest } from './GatewayState'
+
+/** Waiting time that a server in another data centre must save; bytes between data centres are paid for. */
+const REMOTE_COST_MS = 200
+
+/** Further waiting time that it must save for each kilobyte of the request's body. */
+const REMOTE_COST_MS_PER_KB = 10
+
+/** Spreads requests over servers that are equally good. */
+const SPREAD_MS = 40
+
+/** What a full set of used slots costs, so that the emptiest of several free servers is preferred. */
+const USE_COST_MS = 120
+
+/** Cost of a server that is suspect, for requests that may be repeated and for those that may not. */
+const SUSPECT_COST_MS = { repeatable: 150, once: 4_000 }
+
+/** Cost of a path whose last question was not answered. */
+const AVOIDED_COST_MS = 6_000
+
+/** Cost of a server that takes no new work, as far as is known. */
+const CLOSED_COST_MS = 10_000
+
+/** Cost of a node that has been silent. */
+const SILENT_COST_MS = 20_000
+
+/** Service time that is assumed before one is known. */
+const UNKNOWN_SERVICE_MS = 300
+
+/** Chance that a request that may be repeated goes to a suspect server first, so that its recovery is noticed. */
+const TRIAL_CHANCE = 0.1
+
+/** Prefers free servers of the gateway's own data centre, and others only when they save waiting time. @public */
+export class LocalFirstRanking extends CandidateRanking {
+  override rank (state: MeshState, request: GatewayRequest, candidates: readonly Member[]): Member[] {
+    const usualMs = findMedian(candidates.map(({ load }) => load.serviceMs).filter((time) => time > 0))
+    const costs = candidates.map((member) => ({ member, cost: estimateCost(state, request, member, usualMs) }))
+    costs.sort((left, right) => left.cost - right.cost)
+    return costs.map(({ member }) => member)
+  }
+}
+
+function estimateCost (state: MeshState, request: GatewayRequest, member: Member, usualMs: number): number {
+  const { load } = member
+  const { repeatable } = request.route
+  const serviceMs = load.serviceMs > 0 ? load.serviceMs : usualMs
+  const slots = Math.max(1, load.slots)
+  const excess = Math.max(0, load.used + load.queued + 1 - slots)
+  let cost = uniformFloat64(state.random) * SPREAD_MS
+  cost += excess / slots * serviceMs + Math.min(1, load.used / slots) * USE_COST_MS
+  // A server that is slower than its peers delays the request by the difference.
+  cost += Math.max(0, serviceMs - usualMs)
+  if (member.dataCentre !== state.identity.dataCentre) {
+    cost += REMOTE_COST_MS + request.bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
+  }
+  if (load.suspect) cost += suspectCost(state, repeatable)
+  if (state.now < member.avoidUntil) cost += AVOIDED_COST_MS
+  if (!load.open) cost += CLOSED_COST_MS
+  if (!isAlive(state, member)) cost += SILENT_COST_MS
+  return cost
+}
+
+function suspectCost ({ random }: MeshState, repeatable: boolean): number {
+  if (!repeatable) return SUSPECT_COST_MS.once
+  return uniformFloat64(random) < TRIAL_CHANCE ? -SUSPECT_COST_MS.repeatable : SUSPECT_COST_MS.repeatable
+}
+
+function findMedian (times: number[]): number {
+  if (times.length === 0) return UNKNOWN_SERVICE_MS
+  times.sort((left, right) => left - right)
+  return times[Math.floor(times.length / 2)]!
+}
--- /dev/null
+++ b/packages/mesh/src/gateway/chargeRequest.ts
@@ -0,0 +1,86 @@
+import { type GrantId, millis, toId } from '@lavenderturn/types'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import { rankKeepers } from '../quota/rankKeepers'
+import { MAX_KEEPERS, MAX_TOKEN_WAIT, QUESTION_TIMEOUT } from './gatewayTimings'
+import type { TokenAnswered } from './GatewayEvent'
+import type { GatewayRequest } from './GatewayState'
+import { refuseRequest } from './refuseRequest'
+import { seekSlot } from './seekSlot'
+
+/**
+ * Takes one token of the team's rate, or goes on at once if the team has no limit.
+ *
+ * @param state - the node's state
+ * @param request - a request that may run
+ * @returns effects
+ * @internal
+ */
+export function chargeRequest (state: MeshState, request: GatewayRequest): MeshEffect[] {
+  const rule = request.team === undefined ? undefined : state.configuration.current?.teams.get(request.team)
+  if (rule === undefined || rule.ratePerSecond === 0) return seekSlot(state, request)
+  return askKeeper(state, request)
+}
+
+/**
+ * Asks the next keeper of the team's rate.
+ *
+ * @param state - the node's state
+ * @param request - a request that waits for its token
+ * @returns effects
+ * @internal
+ */
+export function askKeeper (state: MeshState, request: GatewayRequest): MeshEffect[] {
+  const keepers = rankKeepers(state, request.team!).slice(0, MAX_KEEPERS)
+  const keeper = keepers[request.keepersAsked]
+  if (keeper === undefined) return refuseRequest(state, request, { result: 'limitUnreachable' })
+  request.keepersAsked += 1
+  const { nodeId, peerAddress } = state.identity
+  const grant: GrantId = toId(`${state.identity.bootId}.${request.id}.${state.gateway.nextNumber++}`)
+  request.grant = grant
+  return [
+    {
+      slice: 'peer',
+      type: 'send',
+      to: keeper.peerAddress,
+      message: { kind: 'askToken', grant, node: nodeId, replyTo: peerAddress, team: request.team! }
+    },
+    {
+      slice: 'timer',
+      type: 'set',
+      id: toId(`token/${request.id}`),
+      delay: QUESTION_TIMEOUT,
+      event: { slice: 'gateway', type: 'tokenDue', requestId: request.id }
+    }
+  ]
+}
+
+/**
+ * Goes on with a request whose keeper has answered.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @param event - the answer
+ * @returns effects
+ * @internal
+ */
+export function takeToken (state: MeshState, request: GatewayRequest, { message }: TokenAnswered): MeshEffect[] {
+  if (message.granted) {
+    request.grant = undefined
+    request.charged = true
+    return [{ slice: 'timer', type: 'clear', id: toId(`token/${request.id}`) }, ...seekSlot(state, request)]
+  }
+  const waited = state.now - request.arrivedAt + message.waitMs
+  if (waited > MAX_TOKEN_WAIT) {
+    return refuseRequest(state, request, { result: 'overRate', retryAfter: millis(message.waitMs) })
+  }
+  // The same keeper is asked again once a token should be there.
+  request.keepersAsked -= 1
+  return [{
+    slice: 'timer',
+    type: 'set',
+    id: toId(`token/${request.id}`),
+    delay: millis(message.waitMs),
+    event: { slice: 'gateway', type: 'tokenDue', requestId: request.id }
+  }]
+}
--- /dev/null
+++ b/packages/mesh/src/gateway/endRequest.ts
@@ -0,0 +1,86 @@
+import { type ResultName, toId } from '@lavenderturn/types'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { GatewayRequest } from './GatewayState'
+
+/** Timers that a request may have. */
+const TIMERS = ['deadline', 'token', 'questions', 'round', 'recall', 'switch'] as const
+
+/** How a request ended. @internal */
+export interface RequestEnd {
+  readonly result: ResultName | 'answered' | 'callerGone'
+  /** Whether an answer of a backend server was given to the caller. */
+  readonly relayed?: boolean
+}
+
+/**
+ * Forgets a request, gives its reservations back and drops the attempt that is still on its way.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @param end - how it ended
+ * @returns effects
+ * @internal
+ */
+export function endRequest (state: MeshState, request: GatewayRequest, end: RequestEnd): MeshEffect[] {
+  state.gateway.requests.delete(request.id)
+  return [
+    ...TIMERS.map((name): MeshEffect => ({ slice: 'timer', type: 'clear', id: toId(`${name}/${request.id}`) })),
+    ...releaseQuestions(state, request),
+    ...dropCurrent(state, request),
+    {
+      slice: 'log',
+      type: 'line',
+      level: 'debug',
+      message: 'request ended',
+      fields: {
+        request: request.callerRequestId,
+        result: end.result,
+        route: request.route.id,
+        service: request.service,
+        sent: request.sentTo.size,
+        elapsedMs: Math.round(state.now - request.arrivedAt)
+      }
+    }
+  ]
+}
+
+/**
+ * Gives back all reservations that are not used.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @returns effects
+ * @internal
+ */
+export function releaseQuestions (state: MeshState, request: GatewayRequest): MeshEffect[] {
+  const effects: MeshEffect[] = []
+  for (const [reservation, { node }] of request.questions) {
+    const member = state.directory.members.get(node)
+    if (member === undefined) continue
+    effects.push({ slice: 'peer', type: 'send', to: member.peerAddress, message: { kind: 'release', reservation } })
+  }
+  request.questions.clear()
+  return effects
+}
+
+/**
+ * Drops the attempt that is on its way, and tells the other node so.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @returns effects
+ * @internal
+ */
+export function dropCurrent (state: MeshState, request: GatewayRequest): MeshEffect[] {
+  const { current, id: requestId } = request
+  if (current === undefined) return []
+  request.current = undefined
+  const { reservation, node } = current
+  const effects: MeshEffect[] = [{ slice: 'gateway', type: 'dropAttempt', requestId, reservation }]
+  const member = state.directory.members.get(node)
+  if (member !== undefined) {
+    effects.unshift({ slice: 'peer', type: 'send', to: member.peerAddress, message: { kind: 'cancel', reservation } })
+  }
+  return effects
+}
--- /dev/null
+++ b/packages/mesh/src/gateway/forwardRequest.ts
@@ -0,0 +1,79 @@
+import { millis, type NodeId, toId } from '@lavenderturn/types'
+import type { ReservationId } from '../admission/ReservationId'
+import { isConfirmed } from '../configuration/isConfirmed'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import {
+  LEAST_SWITCH, RECALL_AFTER, SLOW_LINK_BYTES_PER_MS, SWITCH_FACTOR, UNKNOWN_ROUTE_MS
+} from './gatewayTimings'
+import type { GatewayRequest } from './GatewayState'
+import { findRouteTime } from './routeTimes'
+import { refuseRequest } from './refuseRequest'
+
+/** @internal */
+export interface GrantedSlot {
+  readonly reservation: ReservationId
+  readonly node: NodeId
+}
+
+/**
+ * Sends a request to the node that has granted it a slot.
+ *
+ * @param state - the node's state
+ * @param request - the request
+ * @param slot - the granted slot
+ * @returns effects
+ * @internal
+ */
+export function forwardRequest (state: MeshState, request: GatewayRequest, slot: GrantedSlot): MeshEffect[] {
+  const { reservation, node } = slot
+  const member = state.directory.members.get(node)
+  if (member === undefined) return refuseRequest(state, request, { result: 'noEndpoint' })
+  if (!isStillAllowed(state, request)) {
+    return [
+      { slice: 'peer', type: 'send', to: member.peerAddress, message: { kind: 'release', reservation } },
+      ...refuseRequest(state, request, { result: 'unconfirmed' })
+    ]
+  }
+  request.phase = 'forwarding'
+  request.current = { reservation, node, sentAt: state.now, started: false, recovering: false, fetching: false }
+  const timeout = millis(request.deadline - state.now)
+  const effects: MeshEffect[] = [
+    { slice: 'timer', type: 'clear', id: toId(`questions/${request.id}`) },
+    { slice: 'timer', type: 'clear', id: toId(`round/${request.id}`) },
+    {
+      slice: 'gateway',
+      type: 'forward',
+      requestId: request.id,
+      reservation,
+      address: member.forwardAddress,
+      route: request.route.id,
+      team: request.team,
+      timeout
+    },
+    {
+      slice: 'timer',
+      type: 'set',
+      id: toId(`recall/${request.id}`),
+      delay: millis(RECALL_AFTER + request.bodyBytes / SLOW_LINK_BYTES_PER_MS),
+      event: { slice: 'gateway', type: 'recallDue', requestId: request.id }
+    }
+  ]
+  if (request.route.repeatable && request.sentTo.size + 1 < request.route.maxAttempts) {
+    const usual = findRouteTime(state, request) ?? UNKNOWN_ROUTE_MS
+    effects.push({
+      slice: 'timer',
+      type: 'set',
+      id: toId(`switch/${request.id}`),
+      delay: millis(Math.max(LEAST_SWITCH, usual * SWITCH_FACTOR)),
+      event: { slice: 'gateway', type: 'switchDue', requestId: request.id }
+    })
+  }
+  return effects
+}
+
+/** The key may have been withdrawn, or the confirmation may have run out, while the request waited. */
+function isStillAllowed (state: MeshState, { team, keyHash }: GatewayRequest): boolean {
+  if (team === undefined) return true
+  return isConfirmed(state) && state.configuration.current?.teamsByKey.get(keyHash!)?.id === team
+}
--- /dev/null
+++ b/packages/mesh/src/gateway/routeTimes.ts
@@ -0,0 +1,29 @@
+import type { MeshState } from '../MeshState'
+import type { GatewayRequest } from './GatewayState'
+
+/** Weight of the latest time in the mean. */
+const TIME_WEIGHT = 0.1
+
+type TimedRequest = Pick<GatewayRequest, 'route' | 'service'>
+
+/**
+ * @param state - the node's state
+ * @param request - a request
+ * @returns the usual time of such requests at their backend servers in milliseconds, if one has been answered
+ * @internal
+ */
+export function findRouteTime ({ gateway }: MeshState, { route, service }: TimedRequest): number | undefined {
+  return gateway.routeTimes.get(`${route.id}/${service}`)
+}
+
+/**
+ * @param state - the node's state
+ * @param request - a request that was answered
+ * @param elapsedMs - its time at the backend server
+ * @internal
+ */
+export function learnRouteTime ({ gateway }: MeshState, { route, service }: TimedRequest, elapsedMs: number): void {
+  const key = `${route.id}/${service}`
+  const mean = gateway.routeTimes.get(key)
+  gateway.routeTimes.set(key, mean === undefined ? elapsedMs : mean + (elapsedMs - mean) * TIME_WEIGHT)
+}
--- /dev/null
+++ b/packages/mesh/src/lifecycle/LifecycleEffect.ts
@@ -0,0 +1,14 @@
+/** Tells callers with each answer that their connection closes. @public */
+export interface CloseKeptConnections {
+  readonly slice: 'lifecycle'
+  readonly type: 'closeKeptConnections'
+}
+
+/** Closes all ports and ends the process. @public */
+export interface EndProcess {
+  readonly slice: 'lifecycle'
+  readonly type: 'endProcess'
+}
+
+/** @public */
+export type LifecycleEffect = CloseKeptConnections | EndProcess
--- /dev/null
+++ b/packages/mesh/src/lifecycle/LifecycleState.ts
@@ -0,0 +1,18 @@
+import type { Millis } from '@lavenderturn/types'
+
+/** @public */
+export interface LifecycleState {
+  /** Whether the process has been asked to stop. */
+  stopping: boolean
+  stopAskedAt?: Millis
+  /** Whether the process has told the runtime to end it. */
+  ended: boolean
+}
+
+/**
+ * @returns the state of a process that has just started
+ * @internal
+ */
+export function createLifecycleState (): LifecycleState {
+  return { stopping: false, ended: false }
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,10 @@
+// Options that all bundles share: workspace packages are bundled by their source.
+export const workspacePackages = {
+  name: 'workspace-packages',
+  setup (context) {
+    context.onResolve({ filter: /^@lavenderturn\// }, async (args) => {
+      const name = args.path.slice('@lavenderturn/'.length)
+      return { path: new URL(`../packages/${name}/src/index.ts`, import.meta.url).pathname, sideEffects: false }
+    })
+  }
+}
