Try out suspect servers only with requests that can be sent again

Change: a request tries a suspect server only while another attempt is left, failed trials grow the pause, and one error needs two successes.

--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -31,6 +31,7 @@
     service: id,
     priority: z.number(),
     repeatable: z.boolean(),
+    canRetry: z.boolean(),
     force: z.boolean(),
     waitMs: count
   }),
--- a/packages/mesh-runtime/src/settings/readMeshSettings.ts
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.ts
@@ -11,8 +11,14 @@
   readonly addresses: MeshAddresses
   readonly storeAddress: Address
   readonly bounds: Bounds
+  readonly logLevel: LogLevel
 }
 
+const logLevels = ['error', 'warn', 'info', 'debug'] as const
+
+/** Lines below this level are not written. @public */
+export type LogLevel = typeof logLevels[number]
+
 /** Shown in messages about the file as a whole. */
 const FILE = 'settings file'
 
@@ -33,6 +39,7 @@
   backendAddress: address,
   storeAddress: address,
   announceInterval: duration,
+  logLevel: z._default(z.enum(logLevels), 'info'),
   bounds: z.object({
     revoke: duration,
     drain: duration,
@@ -76,6 +83,7 @@
       metrics: toId(rest.metricsAddress)
     },
     storeAddress: toId(rest.storeAddress),
+    logLevel: rest.logLevel,
     bounds: { ...rest.bounds, announceInterval: rest.announceInterval }
   }
 }
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -26,6 +26,7 @@
   readonly gateway: Address
   readonly priority: number
   readonly repeatable: boolean
+  readonly canRetry: boolean
   readonly force: boolean
   readonly askedAt: Millis
   /** When the gateway stops waiting for the slot. */
@@ -67,6 +68,8 @@
   readonly brokenRuns: BrokenRun[]
   /** Until when no trial of a suspect server starts. */
   nextTrialAt: Millis
+  /** Trials in a row that failed. */
+  failedTrials: number
 }
 
 /**
@@ -81,6 +84,7 @@
     routeTimes: new Map(),
     serviceMs: 0,
     brokenRuns: [],
-    nextTrialAt: millis(0)
+    nextTrialAt: millis(0),
+    failedTrials: 0
   }
 }
--- a/packages/mesh/src/admission/ErrorLikelihood.ts
+++ b/packages/mesh/src/admission/ErrorLikelihood.ts
@@ -5,7 +5,7 @@
 const HEALTHY_ERROR_SHARE = 0.02
 
 /** Share of a partially faulty server's requests that fail. */
-const GRAY_ERROR_SHARE = 0.6
+const GRAY_ERROR_SHARE = 0.75
 
 /** Share of healthy servers' requests that take several times as long as usual. */
 const HEALTHY_OVERDUE_SHARE = 0.03
@@ -19,11 +19,14 @@
 /** Keeps the way back short after a long fault. */
 const MAX_LOG_ODDS = 4
 
-/** Probability above which a server is suspect: 0.25. One error reaches it, and two successes lead back. */
-const SUSPECT_LOG_ODDS = Math.log(0.25 / 0.75)
+/**
+ * Probability above which a server is suspect: 0.15. It is low because a request that may not be repeated is lost at a
+ * faulty server, while going elsewhere costs almost nothing. One error reaches it, and two successes lead back.
+ */
+const SUSPECT_LOG_ODDS = Math.log(0.15 / 0.85)
 
-/** Time constant with which evidence loses its weight; partial faults last some seconds. */
-const EVIDENCE_LIFETIME_MS = 6_000
+/** Time constant with which evidence loses its weight; partial faults last up to some ten seconds. */
+const EVIDENCE_LIFETIME_MS = 10_000
 
 const WEIGHTS: Readonly<Record<GrayEvidence, number>> = {
   error: Math.log(GRAY_ERROR_SHARE / HEALTHY_ERROR_SHARE),
--- a/packages/mesh/src/admission/admissionTimings.ts
+++ b/packages/mesh/src/admission/admissionTimings.ts
@@ -12,8 +12,17 @@
 /** How long a result is kept for a gateway whose connection broke. */
 export const RESULT_LIFETIME = millis(4_000)
 
-/** Pause between two trials of a suspect server. */
-export const TRIAL_INTERVAL = millis(150)
+/** Pause before the first trial of a suspect server, and after a trial that succeeded. */
+export const FIRST_TRIAL_PAUSE = millis(50)
+
+/** Pause after the first failed trial; it doubles with each further one. */
+export const FAILED_TRIAL_PAUSE = millis(300)
+
+/** The longest pause between two trials. */
+export const LONGEST_TRIAL_PAUSE = millis(1_500)
+
+/** A trial whose result is missing for this long no longer keeps others from starting. */
+export const TRIAL_TIMEOUT = millis(1_000)
 
 /** Announcements that may be missing before a server counts as gone. */
 export const MISSED_ANNOUNCEMENTS = 4
--- a/packages/mesh/src/admission/askSlot.ts
+++ b/packages/mesh/src/admission/askSlot.ts
@@ -48,7 +48,7 @@
   if (closure !== undefined) return closure
   const { admission, now, policies } = state
   if (!message.force && policies.grayDetection.isSuspect(admission.gray, now)) {
-    if (!message.repeatable || now < admission.nextTrialAt) return 'suspect'
+    if (!message.canRetry || now < admission.nextTrialAt) return 'suspect'
   }
   const { queued, slots } = summarizeLoad(state)
   return queued >= slots * QUEUE_PER_SLOT ? 'full' : undefined
@@ -60,6 +60,7 @@
     gateway: message.replyTo,
     priority: message.priority,
     repeatable: message.repeatable,
+    canRetry: message.canRetry,
     force: message.force,
     askedAt: now,
     expiresAt: addMillis(now, millis(message.waitMs)),
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -1,7 +1,7 @@
-import { type Millis, type RouteId, toId } from '@lavenderturn/types'
+import { millis, type Millis, type RouteId, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { RESULT_LIFETIME } from './admissionTimings'
+import { FAILED_TRIAL_PAUSE, FIRST_TRIAL_PAUSE, LONGEST_TRIAL_PAUSE, RESULT_LIFETIME } from './admissionTimings'
 import type { WorkEnded, WorkOutcome } from './AdmissionEvent'
 import type { LocalServer, Reservation, Work } from './AdmissionState'
 import type { GrayEvidence } from './GrayDetection'
@@ -28,7 +28,10 @@
   const reservation = admission.reservations.get(id)
   if (reservation?.work === undefined || reservation.phase !== 'running') return []
   const { work } = reservation
-  const effects: MeshEffect[] = [{ slice: 'timer', type: 'clear', id: toId(`overdue/${id}`) }]
+  const effects: MeshEffect[] = [
+    { slice: 'timer', type: 'clear', id: toId(`overdue/${id}`) },
+    logEnd(state, reservation, outcome)
+  ]
   learn(state, work, outcome)
   effects.push(...closeAfter(state, outcome))
   effects.push(...keepResult(state, reservation, outcome))
@@ -45,6 +48,7 @@
  */
 export function observeEvidence (state: MeshState, evidence: GrayEvidence): MeshEffect[] {
   const { admission, now, policies: { grayDetection } } = state
+  scheduleTrial(state, evidence)
   const before = grayDetection.isSuspect(admission.gray, now)
   grayDetection.observe(admission.gray, evidence, now)
   const after = grayDetection.isSuspect(admission.gray, now)
@@ -53,7 +57,36 @@
   const message = after ? 'backend server is suspect' : 'backend server is sound again'
   const effects: MeshEffect[] = [{ slice: 'log', type: 'line', level: 'info', message, fields }]
   if (!after) return effects
-  return effects.concat(handBackQueue(state, 'suspect', ({ repeatable, force }) => !repeatable && !force))
+  return effects.concat(handBackQueue(state, 'suspect', ({ canRetry, force }) => !canRetry && !force))
+}
+
+function scheduleTrial ({ admission, now }: MeshState, evidence: GrayEvidence): void {
+  if (evidence === 'success') {
+    admission.failedTrials = 0
+    admission.nextTrialAt = millis(now + FIRST_TRIAL_PAUSE)
+    return
+  }
+  const pause = Math.min(LONGEST_TRIAL_PAUSE, FAILED_TRIAL_PAUSE * 2 ** (admission.failedTrials - 1))
+  admission.nextTrialAt = millis(now + (admission.failedTrials === 0 ? FIRST_TRIAL_PAUSE : pause))
+  admission.failedTrials += 1
+}
+
+function logEnd (
+  { admission, now }: MeshState,
+  { id, work, repeatable }: Reservation,
+  outcome: WorkOutcome
+): MeshEffect {
+  const failed = outcome.kind === 'answered' ? outcome.failed : undefined
+  const reason = outcome.kind === 'broken' ? outcome.reason : undefined
+  const elapsedMs = Math.round(now - work!.startedAt)
+  const endpoint = admission.server?.endpoint
+  return {
+    slice: 'log',
+    type: 'line',
+    level: 'debug',
+    message: 'work ended',
+    fields: { reservation: id, endpoint, route: work!.route, repeatable, outcome: outcome.kind, failed, reason, elapsedMs }
+  }
 }
 
 function learn ({ admission, now }: MeshState, { route, startedAt }: Work, outcome: WorkOutcome): void {
--- a/packages/mesh/src/admission/startQueued.ts
+++ b/packages/mesh/src/admission/startQueued.ts
@@ -2,7 +2,7 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { SlotRefusal } from '../messages/PeerMessage'
-import { GRANT_LIFETIME, TRIAL_INTERVAL } from './admissionTimings'
+import { GRANT_LIFETIME, TRIAL_TIMEOUT } from './admissionTimings'
 import type { Reservation } from './AdmissionState'
 import { countPhases } from './countPhases'
 import { findClosure } from './findClosure'
@@ -82,15 +82,15 @@
 }
 
 /** A suspect server is tried out by one request at a time that may be repeated. */
-function mayTry ({ admission, now }: MeshState, { force, repeatable }: Reservation): boolean {
-  return force || (repeatable && now >= admission.nextTrialAt)
+function mayTry ({ admission, now }: MeshState, { force, canRetry }: Reservation): boolean {
+  return force || (canRetry && now >= admission.nextTrialAt)
 }
 
 function grant (state: MeshState, reservation: Reservation): MeshEffect[] {
   const { admission, now, policies } = state
   reservation.phase = 'granted'
   reservation.trial = policies.grayDetection.isSuspect(admission.gray, now)
-  if (reservation.trial && !reservation.force) admission.nextTrialAt = millis(now + TRIAL_INTERVAL)
+  if (reservation.trial && !reservation.force) admission.nextTrialAt = millis(now + TRIAL_TIMEOUT)
   const { id, gateway } = reservation
   const load = summarizeLoad(state)
   return [
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -67,5 +67,5 @@
   const closure = findClosure(state)
   if (closure !== undefined) return closure
   const suspect = state.policies.grayDetection.isSuspect(state.admission.gray, state.now)
-  return suspect && !reservation.force && !reservation.repeatable ? 'suspect' : undefined
+  return suspect && !reservation.force && !reservation.canRetry ? 'suspect' : undefined
 }
--- a/packages/mesh/src/gateway/LocalFirstRanking.ts
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -4,6 +4,7 @@
 import type { MeshState } from '../MeshState'
 import { CandidateRanking } from './CandidateRanking'
 import type { GatewayRequest } from './GatewayState'
+import { canRetry } from './retryBudget'
 
 /** Waiting time that a server in another data centre must save; bytes between data centres are paid for. */
 const REMOTE_COST_MS = 200
@@ -17,8 +18,11 @@
 /** What a full set of used slots costs, so that the emptiest of several free servers is preferred. */
 const USE_COST_MS = 120
 
-/** Cost of a server that is suspect, for requests that may be repeated and for those that may not. */
-const SUSPECT_COST_MS = { repeatable: 150, once: 4_000 }
+/** Cost of a server that is suspect. */
+const SUSPECT_COST_MS = 4_000
+
+/** What a suspect server is preferred by when a request tries it out. */
+const TRIAL_GAIN_MS = 150
 
 /** Cost of a path whose last question was not answered. */
 const AVOIDED_COST_MS = 6_000
@@ -32,22 +36,31 @@
 /** Service time that is assumed before one is known. */
 const UNKNOWN_SERVICE_MS = 300
 
-/** Chance that a request that may be repeated goes to a suspect server first, so that its recovery is noticed. */
-const TRIAL_CHANCE = 0.1
+/** Chance that a request that could be sent again goes to a suspect server first, so that its recovery is noticed. */
+const TRIAL_CHANCE = 0.35
 
 /** Prefers free servers of the gateway's own data centre, and others only when they save waiting time. @public */
 export class LocalFirstRanking extends CandidateRanking {
   override rank (state: MeshState, request: GatewayRequest, candidates: readonly Member[]): Member[] {
     const usualMs = findMedian(candidates.map(({ load }) => load.serviceMs).filter((time) => time > 0))
-    const costs = candidates.map((member) => ({ member, cost: estimateCost(state, request, member, usualMs) }))
+    const tries = canRetry(state, request) && uniformFloat64(state.random) < TRIAL_CHANCE
+    const costs = candidates.map((member) => {
+      return { member, cost: estimateCost(state, member, { bodyBytes: request.bodyBytes, usualMs, tries }) }
+    })
     costs.sort((left, right) => left.cost - right.cost)
     return costs.map(({ member }) => member)
   }
 }
 
-function estimateCost (state: MeshState, request: GatewayRequest, member: Member, usualMs: number): number {
+interface Circumstances {
+  readonly bodyBytes: number
+  readonly usualMs: number
+  /** Whether the request may try out a suspect server. */
+  readonly tries: boolean
+}
+
+function estimateCost (state: MeshState, member: Member, { bodyBytes, usualMs, tries }: Circumstances): number {
   const { load } = member
-  const { repeatable } = request.route
   const serviceMs = load.serviceMs > 0 ? load.serviceMs : usualMs
   const slots = Math.max(1, load.slots)
   const excess = Math.max(0, load.used + load.queued + 1 - slots)
@@ -56,20 +69,15 @@
   // A server that is slower than its peers delays the request by the difference.
   cost += Math.max(0, serviceMs - usualMs)
   if (member.dataCentre !== state.identity.dataCentre) {
-    cost += REMOTE_COST_MS + request.bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
+    cost += REMOTE_COST_MS + bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
   }
-  if (load.suspect) cost += suspectCost(state, repeatable)
+  if (load.suspect) cost += tries ? -TRIAL_GAIN_MS : SUSPECT_COST_MS
   if (state.now < member.avoidUntil) cost += AVOIDED_COST_MS
   if (!load.open) cost += CLOSED_COST_MS
   if (!isAlive(state, member)) cost += SILENT_COST_MS
   return cost
 }
 
-function suspectCost ({ random }: MeshState, repeatable: boolean): number {
-  if (!repeatable) return SUSPECT_COST_MS.once
-  return uniformFloat64(random) < TRIAL_CHANCE ? -SUSPECT_COST_MS.repeatable : SUSPECT_COST_MS.repeatable
-}
-
 function findMedian (times: number[]): number {
   if (times.length === 0) return UNKNOWN_SERVICE_MS
   times.sort((left, right) => left - right)
--- a/packages/mesh/src/gateway/retryBudget.ts
+++ b/packages/mesh/src/gateway/retryBudget.ts
@@ -1,6 +1,7 @@
 import type { ServiceId } from '@lavenderturn/types'
 import type { MeshState } from '../MeshState'
 import { countMembers } from '../directory/countMembers'
+import type { GatewayRequest } from './GatewayState'
 
 /** Part of the allowed ratio that each request earns; calls of a repeated run count as repeats elsewhere. */
 const EARNED_PART = 0.6
@@ -38,6 +39,17 @@
   return true
 }
 
+/**
+ * @param state - the node's state
+ * @param request - a request that is about to be sent
+ * @returns whether it could go to another server if it failed
+ * @internal
+ */
+export function canRetry (state: MeshState, { route, sentTo, service }: GatewayRequest): boolean {
+  if (!route.repeatable || sentTo.size + 1 >= route.maxAttempts) return false
+  return (state.gateway.retryBudgets.get(service) ?? 0) >= 1
+}
+
 function findCapacity (state: MeshState): number {
   return Math.max(1, state.bounds.retrySlack * SLACK_PART / Math.max(1, countMembers(state).total))
 }
--- a/packages/mesh/src/gateway/seekSlot.ts
+++ b/packages/mesh/src/gateway/seekSlot.ts
@@ -13,6 +13,7 @@
 } from './gatewayTimings'
 import type { SlotAnswered } from './GatewayEvent'
 import type { GatewayRequest } from './GatewayState'
+import { canRetry } from './retryBudget'
 import { findRouteTime } from './routeTimes'
 import { refuseRequest } from './refuseRequest'
 
@@ -71,6 +72,7 @@
         service: request.service,
         priority: request.priority,
         repeatable: request.route.repeatable,
+        canRetry: canRetry(state, request),
         force: request.force,
         waitMs
       }
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -39,7 +39,10 @@
   readonly replyTo: Address
   readonly service: ServiceId
   readonly priority: number
+  /** Whether the request may run more than once. */
   readonly repeatable: boolean
+  /** Whether the request could go to another server if it failed, so that it may try out a suspect one. */
+  readonly canRetry: boolean
   /** Takes the slot also of a server that is suspect. */
   readonly force: boolean
   /** How long the asker can wait for a slot. */
--- a/packages/mesh/src/quota/reduceQuota.ts
+++ b/packages/mesh/src/quota/reduceQuota.ts
@@ -35,7 +35,12 @@
   const burst = Math.max(1, rule.burst * share)
   fill(bucket, { now: state.now, rate, burst })
   if (bucket.level < 1) {
-    return [answer(message, false, Math.ceil((1 - bucket.level) / rate * MILLISECONDS_PER_SECOND))]
+    const waitMs = Math.ceil((1 - bucket.level) / rate * MILLISECONDS_PER_SECOND)
+    const fields = { team, asker: node, rate, burst, share, waitMs }
+    return [
+      answer(message, false, waitMs),
+      { slice: 'log', type: 'line', level: 'debug', message: 'token refused', fields }
+    ]
   }
   bucket.level -= 1
   return [answer(message, true)]
