--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -6,7 +6,7 @@
 import { dropConnectionHeaders } from '../protocol/connectionHeaders'
 import { type HeaderList, listHeaders, type WholeAnswer } from '../protocol/RequestHead'
 import type { RequestProtocol } from '../protocol/RequestProtocol'
-import { readBody } from '../readBody'
+import { IncompleteBodyError, readBody } from '../readBody'
 
 /** A backend server is on the same instance; one that has not accepted after this time is gone. */
 const CONNECT_TIMEOUT_MS = 400
@@ -45,6 +45,7 @@
   private aborted: 'aborted' | 'timeout' | undefined
   private connected = false
   private answered = false
+  private socketFailed = false
   private timers: NodeJS.Timeout[] = []
 
   constructor (private readonly options: BackendExchangeOptions) {}
@@ -81,6 +82,8 @@
         return { outcome: { kind: 'broken', reason: 'foreign' } }
       }
       const body = await readBody(response, { maxBytes: MAX_ANSWER_BYTES })
+      // Node ends an answer without a length in order also when its connection is reset, after the request's error.
+      if (this.socketFailed) throw new IncompleteBodyError('connection reset inside the body')
       if (meaning === 'declined' || meaning === 'misdirected') {
         return { outcome: { kind: 'declined', misdirected: meaning === 'misdirected' } }
       }
@@ -110,6 +113,7 @@
     agent?.closeStale()
     this.connected = false
     this.answered = false
+    this.socketFailed = false
     return await new Promise((resolve, reject) => {
       const request = startRequest({
         ...splitAddress(address),
@@ -125,7 +129,10 @@
         this.answered = true
         resolve(response)
       })
-      request.on('error', reject)
+      request.on('error', (err) => {
+        this.socketFailed = true
+        reject(err)
+      })
       request.on('close', () => { reject(new Error('connection closed before an answer')) })
       request.end(body)
     })
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -85,7 +85,9 @@
     type: 'line',
     level: 'debug',
     message: 'work ended',
-    fields: { reservation: id, endpoint, route: work!.route, repeatable, outcome: outcome.kind, failed, reason, elapsedMs }
+    fields: {
+      reservation: id, endpoint, route: work!.route, repeatable, outcome: outcome.kind, failed, reason, elapsedMs
+    }
   }
 }
 
