Compare errors with the service's other servers before a server counts as suspect

Change: errors are weighed against the share that fails at the service's other servers, a failure right after a failed call of the server's own is excused, requests that a server states not to have run may go elsewhere, and a request that waits for a quarter of its target also takes suspect servers.

--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -5,7 +5,7 @@
 const count = z.number().check(z.nonnegative())
 
 const load = z.object({
-  open: z.boolean(), slots: count, used: count, queued: count, suspect: z.boolean(), serviceMs: count
+  open: z.boolean(), slots: count, used: count, queued: count, suspect: z.boolean(), errorShare: count, serviceMs: count
 })
 
 const refusal = z.enum(['closed', 'evacuated', 'suspect', 'wrongService', 'expired', 'full'])
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -64,6 +64,10 @@
   readonly routeTimes: Map<RouteId, number>
   /** Mean service time of all requests in milliseconds; 0 before the first. */
   serviceMs: number
+  /** Share of recent results that were errors of the server's own. */
+  errorShare: number
+  /** When a call that the server makes itself last failed. */
+  callFailedAt?: Millis
   /** Latest runs that broke off; a crash that shows later is put down to them. */
   readonly brokenRuns: BrokenRun[]
   /** Until when no trial of a suspect server starts. */
@@ -83,6 +87,7 @@
     dispatchTimes: [],
     routeTimes: new Map(),
     serviceMs: 0,
+    errorShare: 0,
     brokenRuns: [],
     nextTrialAt: millis(0),
     failedTrials: 0
--- a/packages/mesh/src/admission/ErrorLikelihood.ts
+++ b/packages/mesh/src/admission/ErrorLikelihood.ts
@@ -1,12 +1,15 @@
 import type { Millis } from '@lavenderturn/types'
-import { GrayDetection, type GrayEvidence, type GrayState } from './GrayDetection'
+import { type GrayContext, GrayDetection, type GrayEvidence, type GrayState } from './GrayDetection'
 
-/** Share of healthy servers' requests that fail. */
+/** Share of healthy servers' requests that fail, at least. */
 const HEALTHY_ERROR_SHARE = 0.02
 
 /** Share of a partially faulty server's requests that fail. */
 const GRAY_ERROR_SHARE = 0.75
 
+/** Keeps the weights finite when everything fails. */
+const LARGEST_ERROR_SHARE = 0.95
+
 /** Share of healthy servers' requests that take several times as long as usual. */
 const HEALTHY_OVERDUE_SHARE = 0.03
 
@@ -28,16 +31,10 @@
 /** Time constant with which evidence loses its weight; partial faults last up to some ten seconds. */
 const EVIDENCE_LIFETIME_MS = 10_000
 
-const WEIGHTS: Readonly<Record<GrayEvidence, number>> = {
-  error: Math.log(GRAY_ERROR_SHARE / HEALTHY_ERROR_SHARE),
-  success: Math.log((1 - GRAY_ERROR_SHARE) / (1 - HEALTHY_ERROR_SHARE)),
-  overdue: Math.log(GRAY_OVERDUE_SHARE / HEALTHY_OVERDUE_SHARE)
-}
-
 /** Compares how likely the results are under health and under a partial fault. @public */
 export class ErrorLikelihood extends GrayDetection {
-  override observe (gray: GrayState, evidence: GrayEvidence, now: Millis): void {
-    const logOdds = readLogOdds(gray, now) + WEIGHTS[evidence]
+  override observe (gray: GrayState, evidence: GrayEvidence, { now, usualErrorShare }: GrayContext): void {
+    const logOdds = readLogOdds(gray, now) + weigh(evidence, usualErrorShare)
     gray.logOdds = Math.min(MAX_LOG_ODDS, Math.max(PRIOR_LOG_ODDS, logOdds))
     gray.updatedAt = now
   }
@@ -47,6 +44,16 @@
   }
 }
 
+function weigh (evidence: GrayEvidence, usualErrorShare: number): number {
+  const usual = Math.min(LARGEST_ERROR_SHARE, Math.max(HEALTHY_ERROR_SHARE, usualErrorShare))
+  const gray = Math.max(GRAY_ERROR_SHARE, usual)
+  switch (evidence) {
+    case 'error': return Math.log(gray / usual)
+    case 'success': return Math.log((1 - gray) / (1 - usual))
+    case 'overdue': return Math.log(GRAY_OVERDUE_SHARE / HEALTHY_OVERDUE_SHARE)
+  }
+}
+
 function readLogOdds ({ logOdds, updatedAt }: GrayState, now: Millis): number {
   if (logOdds <= PRIOR_LOG_ODDS) return PRIOR_LOG_ODDS
   const remaining = Math.exp((updatedAt - now) / EVIDENCE_LIFETIME_MS)
--- a/packages/mesh/src/admission/GrayDetection.ts
+++ b/packages/mesh/src/admission/GrayDetection.ts
@@ -10,6 +10,13 @@
 /** How a request ended, as far as it tells of a partial fault. @public */
 export type GrayEvidence = 'success' | 'error' | 'overdue'
 
+/** What a result is compared with. @public */
+export interface GrayContext {
+  readonly now: Millis
+  /** Share of requests that fail at sound servers of the same service now. */
+  readonly usualErrorShare: number
+}
+
 /** Decides from results whether a backend server has a partial fault. @public */
 export abstract class GrayDetection {
   /**
@@ -17,9 +24,9 @@
    *
    * @param gray - what is known; updated in place
    * @param evidence - the result
-   * @param now - steady time
+   * @param context - steady time, and the share of requests that fail at the service's other servers
    */
-  abstract observe (gray: GrayState, evidence: GrayEvidence, now: Millis): void
+  abstract observe (gray: GrayState, evidence: GrayEvidence, context: GrayContext): void
 
   /**
    * @param gray - what is known
--- a/packages/mesh/src/admission/admissionTimings.ts
+++ b/packages/mesh/src/admission/admissionTimings.ts
@@ -41,3 +41,6 @@
 
 /** How long after a broken run a crash of the server is put down to it. */
 export const CRASH_WINDOW = millis(5_000)
+
+/** Time within which a server answers a failure that one of its own calls has caused. */
+export const CALL_FAILURE_WINDOW = millis(40)
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -1,9 +1,12 @@
 import { millis, type Millis, type RouteId, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { FAILED_TRIAL_PAUSE, FIRST_TRIAL_PAUSE, LONGEST_TRIAL_PAUSE, RESULT_LIFETIME } from './admissionTimings'
+import {
+  CALL_FAILURE_WINDOW, FAILED_TRIAL_PAUSE, FIRST_TRIAL_PAUSE, LONGEST_TRIAL_PAUSE, RESULT_LIFETIME
+} from './admissionTimings'
 import type { WorkEnded, WorkOutcome } from './AdmissionEvent'
 import type { LocalServer, Reservation, Work } from './AdmissionState'
+import { findUsualErrorShare } from './findUsualErrorShare'
 import type { GrayEvidence } from './GrayDetection'
 import { handBackQueue } from './handBackQueue'
 import { reportCrash } from './reportCrash'
@@ -12,6 +15,9 @@
 /** Weight of the latest service time in the mean. */
 const TIME_WEIGHT = 0.2
 
+/** Weight of the latest result in the share of errors. */
+const ERROR_WEIGHT = 0.08
+
 /** Broken runs that are remembered, at most; a server has fewer slots. */
 const MAX_BROKEN_RUNS = 32
 
@@ -50,7 +56,7 @@
   const { admission, now, policies: { grayDetection } } = state
   scheduleTrial(state, evidence)
   const before = grayDetection.isSuspect(admission.gray, now)
-  grayDetection.observe(admission.gray, evidence, now)
+  grayDetection.observe(admission.gray, evidence, { now, usualErrorShare: findUsualErrorShare(state) })
   const after = grayDetection.isSuspect(admission.gray, now)
   if (before === after) return []
   const fields = { endpoint: admission.server?.endpoint, evidence }
@@ -106,14 +112,27 @@
 function closeAfter (state: MeshState, outcome: WorkOutcome): MeshEffect[] {
   const server = state.admission.server!
   switch (outcome.kind) {
-    case 'answered': return observeEvidence(state, outcome.failed ? 'error' : 'success')
-    case 'broken': return observeEvidence(state, 'error')
+    case 'answered': return outcome.failed ? observeError(state) : observeResult(state, 'success')
+    case 'broken': return observeResult(state, 'error')
     case 'unreachable': return loseServer(state, server, 'connection refused')
     case 'declined': return outcome.misdirected ? loseServer(state, server, 'another server has the address') : []
     case 'aborted': return []
   }
 }
 
+/** A server that fails right after a call of its own has failed is not at fault. */
+function observeError (state: MeshState): MeshEffect[] {
+  const { callFailedAt } = state.admission
+  const isExcused = callFailedAt !== undefined && state.now - callFailedAt < CALL_FAILURE_WINDOW
+  return isExcused ? [] : observeResult(state, 'error')
+}
+
+function observeResult (state: MeshState, evidence: 'success' | 'error'): MeshEffect[] {
+  const { admission } = state
+  admission.errorShare += ((evidence === 'error' ? 1 : 0) - admission.errorShare) * ERROR_WEIGHT
+  return observeEvidence(state, evidence)
+}
+
 function loseServer (state: MeshState, server: LocalServer, reason: string): MeshEffect[] {
   if (!server.reachable) return []
   server.reachable = false
--- a/packages/mesh/src/admission/reduceAdmission.ts
+++ b/packages/mesh/src/admission/reduceAdmission.ts
@@ -57,7 +57,14 @@
 }
 
 function observeOverdue (state: MeshState, id: ReservationId): MeshEffect[] {
-  return state.admission.reservations.get(id)?.phase === 'running' ? observeEvidence(state, 'overdue') : []
+  if (state.admission.reservations.get(id)?.phase !== 'running') return []
+  // A server that waits for a call of its own is not the one that is slow.
+  return hasOpenCall(state) ? [] : observeEvidence(state, 'overdue')
+}
+
+function hasOpenCall ({ gateway }: MeshState): boolean {
+  for (const { team } of gateway.requests.values()) if (team === undefined) return true
+  return false
 }
 
 function cancelWork (state: MeshState, id: ReservationId): MeshEffect[] {
--- a/packages/mesh/src/admission/summarizeLoad.ts
+++ b/packages/mesh/src/admission/summarizeLoad.ts
@@ -18,6 +18,7 @@
     used: countPhases(admission, 'granted', 'running'),
     queued: countPhases(admission, 'queued'),
     suspect: policies.grayDetection.isSuspect(admission.gray, now),
+    errorShare: Math.round(admission.errorShare * 1_000) / 1_000,
     serviceMs: Math.round(admission.serviceMs)
   }
 }
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -110,7 +110,7 @@
     heardAt: state.now,
     leaving: false,
     revision: toId(0),
-    load: { open: true, slots: 1, used: 0, queued: 0, suspect: false, serviceMs: 0 },
+    load: { open: true, slots: 1, used: 0, queued: 0, suspect: false, errorShare: 0, serviceMs: 0 },
     loadAt: millis(0),
     avoidUntil: millis(0),
     missed: 0
--- a/packages/mesh/src/gateway/LocalFirstRanking.ts
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -21,6 +21,9 @@
 /** Cost of a server that is suspect. */
 const SUSPECT_COST_MS = 4_000
 
+/** Cost of a suspect server for a request that has waited long for a sound one. */
+const FORCED_SUSPECT_COST_MS = 400
+
 /** What a suspect server is preferred by when a request tries it out. */
 const TRIAL_GAIN_MS = 150
 
@@ -45,7 +48,7 @@
     const usualMs = findMedian(candidates.map(({ load }) => load.serviceMs).filter((time) => time > 0))
     const tries = canRetry(state, request) && uniformFloat64(state.random) < TRIAL_CHANCE
     const costs = candidates.map((member) => {
-      return { member, cost: estimateCost(state, member, { bodyBytes: request.bodyBytes, usualMs, tries }) }
+      return { member, cost: estimateCost(state, member, { request, usualMs, tries }) }
     })
     costs.sort((left, right) => left.cost - right.cost)
     return costs.map(({ member }) => member)
@@ -53,13 +56,13 @@
 }
 
 interface Circumstances {
-  readonly bodyBytes: number
+  readonly request: GatewayRequest
   readonly usualMs: number
   /** Whether the request may try out a suspect server. */
   readonly tries: boolean
 }
 
-function estimateCost (state: MeshState, member: Member, { bodyBytes, usualMs, tries }: Circumstances): number {
+function estimateCost (state: MeshState, member: Member, { request, usualMs, tries }: Circumstances): number {
   const { load } = member
   const serviceMs = load.serviceMs > 0 ? load.serviceMs : usualMs
   const slots = Math.max(1, load.slots)
@@ -69,9 +72,9 @@
   // A server that is slower than its peers delays the request by the difference.
   cost += Math.max(0, serviceMs - usualMs)
   if (member.dataCentre !== state.identity.dataCentre) {
-    cost += REMOTE_COST_MS + bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
+    cost += REMOTE_COST_MS + request.bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
   }
-  if (load.suspect) cost += tries ? -TRIAL_GAIN_MS : SUSPECT_COST_MS
+  if (load.suspect) cost += tries ? -TRIAL_GAIN_MS : request.force ? FORCED_SUSPECT_COST_MS : SUSPECT_COST_MS
   if (state.now < member.avoidUntil) cost += AVOIDED_COST_MS
   if (!load.open) cost += CLOSED_COST_MS
   if (!isAlive(state, member)) cost += SILENT_COST_MS
--- a/packages/mesh/src/gateway/endAttempt.ts
+++ b/packages/mesh/src/gateway/endAttempt.ts
@@ -33,8 +33,8 @@
       request.refusedBy.add(current.node)
       return effects.concat(seekSlot(state, request))
     case 'declined':
-      request.sentTo.add(current.node)
-      if (mayRepeat(state, request)) return effects.concat(seekSlot(state, request))
+      request.refusedBy.add(current.node)
+      if (maySendAgain(state, request)) return effects.concat(seekSlot(state, request))
       return effects.concat(refuseRequest(state, request, { result: 'noEndpoint' }))
     case 'broken': return effects.concat(handleUnknown(state, request, current))
   }
@@ -55,7 +55,7 @@
   }
   return [
     { slice: 'gateway', type: 'relay', requestId, reservation },
-    ...endRequest(state, request, { result: 'answered', relayed: true })
+    ...endRequest(state, request, { result: 'answered', relayed: true, failed })
   ]
 }
 
@@ -68,7 +68,10 @@
 }
 
 function mayRepeat (state: MeshState, request: GatewayRequest): boolean {
-  if (request.sentTo.size >= request.route.maxAttempts) return false
+  return request.sentTo.size < request.route.maxAttempts && maySendAgain(state, request)
+}
+
+function maySendAgain (state: MeshState, request: GatewayRequest): boolean {
   // A request that was running when a server crashed may be the cause.
   if (countCrashes(state, request.fingerprint) > 0) return false
   const usual = findRouteTime(state, request) ?? 0
--- a/packages/mesh/src/gateway/endRequest.ts
+++ b/packages/mesh/src/gateway/endRequest.ts
@@ -11,6 +11,8 @@
   readonly result: ResultName | 'answered' | 'callerGone'
   /** Whether an answer of a backend server was given to the caller. */
   readonly relayed?: boolean
+  /** Whether the caller got a failure. */
+  readonly failed?: boolean
 }
 
 /**
@@ -24,6 +26,8 @@
  */
 export function endRequest (state: MeshState, request: GatewayRequest, end: RequestEnd): MeshEffect[] {
   state.gateway.requests.delete(request.id)
+  // Requests without a team are calls of the backend server on this instance, or open to all.
+  if (request.team === undefined && end.failed === true) state.admission.callFailedAt = state.now
   return [
     ...TIMERS.map((name): MeshEffect => ({ slice: 'timer', type: 'clear', id: toId(`${name}/${request.id}`) })),
     ...releaseQuestions(state, request),
--- a/packages/mesh/src/gateway/gatewayTimings.ts
+++ b/packages/mesh/src/gateway/gatewayTimings.ts
@@ -6,6 +6,12 @@
 /** Questions for a slot that may be open at a time. */
 export const MAX_QUESTIONS = 2
 
+/** Questions that may be open once suspect servers are asked as well. */
+export const MAX_FORCED_QUESTIONS = 4
+
+/** Part of a route's target for which a request waits for a sound server before it takes a suspect one. */
+export const SOUND_PATIENCE_SHARE = 0.25
+
 /** Pause before the next round when every candidate has refused. */
 export const ROUND_PAUSE = millis(60)
 
--- a/packages/mesh/src/gateway/refuseRequest.ts
+++ b/packages/mesh/src/gateway/refuseRequest.ts
@@ -32,7 +32,7 @@
   if (fallback !== undefined) {
     return [
       { slice: 'gateway', type: 'relay', requestId, reservation: fallback },
-      ...endRequest(state, request, { result, relayed: true })
+      ...endRequest(state, request, { result, relayed: true, failed: true })
     ]
   }
   const stated = resultCodes[result].run === 'not-run' && request.mayHaveRun ? 'outcomeUnknown' : result
@@ -49,7 +49,7 @@
       elapsedMs: Math.round(state.now - request.arrivedAt),
       revision: state.configuration.current?.revision
     }),
-    ...endRequest(state, request, { result: stated })
+    ...endRequest(state, request, { result: stated, failed: true })
   ]
 }
 
--- a/packages/mesh/src/gateway/seekSlot.ts
+++ b/packages/mesh/src/gateway/seekSlot.ts
@@ -9,7 +9,8 @@
 import { releaseQuestions } from './endRequest'
 import { forwardRequest } from './forwardRequest'
 import {
-  MAX_QUESTIONS, MAX_ROUNDS_WITH_ANSWER, QUESTION_TIMEOUT, ROUND_PAUSE, UNKNOWN_ROUTE_MS, WAIT_SHARE
+  MAX_FORCED_QUESTIONS, MAX_QUESTIONS, MAX_ROUNDS_WITH_ANSWER, QUESTION_TIMEOUT, ROUND_PAUSE, SOUND_PATIENCE_SHARE,
+  UNKNOWN_ROUTE_MS, WAIT_SHARE
 } from './gatewayTimings'
 import type { SlotAnswered } from './GatewayEvent'
 import type { GatewayRequest } from './GatewayState'
@@ -31,10 +32,11 @@
   const waitMs = findWait(state, request)
   if (waitMs <= 0) return refuseRequest(state, request, { result: 'noEndpoint' })
   const open = [...request.questions.values()].filter((question) => question.state !== 'missed').length
-  const candidates = open < MAX_QUESTIONS ? listCandidates(state, request) : []
+  const limit = request.force ? MAX_FORCED_QUESTIONS : MAX_QUESTIONS
+  const candidates = open < limit ? listCandidates(state, request) : []
   const next = candidates[0]
   if (next !== undefined) return askMember(state, request, next, waitMs)
-  return request.questions.size > 0 ? [] : startRound(state, request)
+  return request.questions.size > 0 ? [scheduleCheck(request)] : startRound(state, request)
 }
 
 function findWait (state: MeshState, request: GatewayRequest): number {
@@ -77,16 +79,20 @@
         waitMs
       }
     },
-    {
-      slice: 'timer',
-      type: 'set',
-      id: toId(`questions/${request.id}`),
-      delay: QUESTION_TIMEOUT,
-      event: { slice: 'gateway', type: 'questionsDue', requestId: request.id }
-    }
+    scheduleCheck(request)
   ]
 }
 
+function scheduleCheck ({ id }: GatewayRequest): MeshEffect {
+  return {
+    slice: 'timer',
+    type: 'set',
+    id: toId(`questions/${id}`),
+    delay: QUESTION_TIMEOUT,
+    event: { slice: 'gateway', type: 'questionsDue', requestId: id }
+  }
+}
+
 /** Every candidate has refused: all are asked once more after a pause, and suspect ones as well. */
 function startRound (state: MeshState, request: GatewayRequest): MeshEffect[] {
   request.rounds += 1
@@ -148,6 +154,11 @@
     question.state = 'missed'
     recordMissed(state, question.node)
   }
+  const patience = request.route.target * SOUND_PATIENCE_SHARE
+  if (!request.force && state.now - request.arrivedAt > patience) {
+    request.force = true
+    request.refusedBy.clear()
+  }
   const effects: MeshEffect[] = []
   // A question that nobody has answered is given up when all others have refused.
   const waiting = [...request.questions.values()].some(({ state }) => state !== 'missed')
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -13,6 +13,8 @@
   readonly queued: number
   /** Whether recent results make a partial fault likely. */
   readonly suspect: boolean
+  /** Share of recent results that were errors of the server's own. */
+  readonly errorShare: number
   /** Mean service time, or 0 if it is not known yet. */
   readonly serviceMs: number
 }
