Shorten datagrams, tell when a waiting call was answered, and keep requests in their data centre

Cause: beats in full to other data centres were half of the bytes between them, and calls to the store were twice as frequent as needed, because a reading counted as of the start of its call.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -3,13 +3,14 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
 import type { MeshRuntime } from '../MeshRuntime'
+import { AnswerClock, type CallStart } from './AnswerClock'
 import type { ConfigurationSource, SourceReading } from './ConfigurationSource'
 
 /**
- * How long a call waits for a change. A reading without a change confirms the configuration as of its start, so that
- * twice this time must fit into the time for which a confirmation lasts.
+ * How long a call waits for a change. A reading without a change confirms the configuration as of its end, so that
+ * this time and a slow answer must fit into the time for which a confirmation lasts. Calls to the store are paid for.
  */
-const FOLLOW_WAIT = millis(1_500)
+const FOLLOW_WAIT = millis(3_000)
 
 /** How much longer than its wait a call may take before it is broken off; the connection may have gone silent. */
 const CALL_TIMEOUT_MS = 1_000
@@ -29,6 +30,7 @@
   private readonly options: ConfigurationFollowerOptions
   private readonly backoff = new Backoff(BACKOFF)
   private readonly stopped = new AbortController()
+  private readonly answerClock = new AnswerClock()
   private cursor: number | undefined
   private reachable = true
 
@@ -57,7 +59,7 @@
   }
 
   private async step (): Promise<void> {
-    const confirmed = { steadyAt: millis(performance.now()), wallAt: millis(Date.now()) }
+    const start = readClocks()
     const reading = await this.call()
     if (reading === undefined) {
       this.cursor = undefined
@@ -65,6 +67,7 @@
     }
     this.cursor = reading.cursor
     const { configuration, evacuated } = reading
+    const confirmed = this.answerClock.locate(start, readClocks(), reading.storeTime)
     this.options.runtime.dispatch({
       slice: 'configuration', type: 'configurationRead', configuration, evacuated, confirmed
     })
@@ -85,3 +88,7 @@
     else this.options.log.warn('configuration source does not answer', { error: String(err) })
   }
 }
+
+function readClocks (): CallStart {
+  return { steadyAt: millis(performance.now()), wallAt: millis(Date.now()) }
+}
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -9,6 +9,8 @@
   readonly evacuated?: ReadonlySet<DataCentreId>
   /** Where to go on. */
   readonly cursor: number
+  /** The source's steady clock when it answered, on a scale of its own. */
+  readonly storeTime: Millis
 }
 
 /** Where operators put the configuration. @public */
--- a/packages/mesh-runtime/src/peers/PeerHandler.ts
+++ b/packages/mesh-runtime/src/peers/PeerHandler.ts
@@ -1,10 +1,10 @@
 import type { EventBody, MeshEffect, PeerMessage } from '@lavenderturn/mesh'
 import { splitAddress } from '@lavenderturn/runtime'
-import type { Address } from '@lavenderturn/types'
+import { type Address, toId } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { createSocket, type Socket } from 'node:dgram'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
-import { parsePeerMessage } from './peerMessageSchema'
+import { decodePeerMessage, encodePeerMessage } from './peerCodec'
 
 /** @internal */
 export interface PeerHandlerOptions {
@@ -29,7 +29,7 @@
     this.runtime = runtime
     this.log = log
     this.address = address
-    this.socket.on('message', (data) => { this.receive(data) })
+    this.socket.on('message', (data, sender) => { this.receive(data, toId(`${sender.address}:${sender.port}`)) })
     this.socket.on('error', (err) => { this.log.warn('datagram socket failed', { error: err.message }) })
   }
 
@@ -48,11 +48,11 @@
   override run (effect: MeshEffect): void {
     if (effect.slice !== 'peer') return
     if (effect.to === this.address) {
-      this.runtime.dispatch(toEvent(effect.message))
+      this.runtime.dispatch(toEvent(effect.message, this.address))
       return
     }
     const { host, port } = splitAddress(effect.to)
-    this.socket.send(JSON.stringify(effect.message), port, host, (err) => {
+    this.socket.send(encodePeerMessage(effect.message), port, host, (err) => {
       // Whoever misses the answer asks again; the node's silence is noticed by its peers.
       if (err !== null) this.log.debug('datagram not sent', { to: effect.to, error: err.message })
     })
@@ -62,19 +62,20 @@
     this.socket.close()
   }
 
-  private receive (data: Buffer): void {
-    const message = parsePeerMessage(data)
+  private receive (data: Buffer, from: Address): void {
+    const message = decodePeerMessage(data)
     if (message === undefined) {
       this.malformed += 1
       return
     }
-    this.runtime.dispatch(toEvent(message))
+    this.runtime.dispatch(toEvent(message, from))
   }
 }
 
-function toEvent (message: PeerMessage): EventBody {
+function toEvent (message: PeerMessage, from: Address): EventBody {
   switch (message.kind) {
-    case 'beat': return { slice: 'directory', type: 'beatReceived', message }
+    case 'beat': return { slice: 'directory', type: 'beatReceived', message, from }
+    case 'hello': return { slice: 'directory', type: 'helloReceived', message }
     case 'askSlot': return { slice: 'admission', type: 'slotAsked', message }
     case 'slot': return { slice: 'gateway', type: 'slotAnswered', message }
     case 'release': return { slice: 'admission', type: 'slotReleased', reservation: message.reservation }
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -1,4 +1,3 @@
-import type { PeerMessage } from '@lavenderturn/mesh'
 import * as z from 'zod/mini'
 
 const id = z.string().check(z.minLength(1), z.maxLength(200))
@@ -13,16 +12,17 @@
 /** What a datagram may hold. A datagram that does not match is dropped and counted. @internal */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   z.object({
-    kind: z.literal('beat'),
+    kind: z.literal('beat'), node: id, boot: id, load, revision: count, leaving: z.boolean()
+  }),
+  z.object({
+    kind: z.literal('hello'),
     node: id,
     boot: id,
     dataCentre: id,
     service: id,
     peerAddress: id,
     forwardAddress: id,
-    load,
-    revision: count,
-    leaving: z.boolean()
+    wantsReply: z.boolean()
   }),
   z.object({
     kind: z.literal('askSlot'),
@@ -53,23 +53,3 @@
   z.object({ kind: z.literal('token'), grant: id, granted: z.boolean(), waitMs: count }),
   z.object({ kind: z.literal('crash'), fingerprint: id, endpoint: id, startedAt: z.number() })
 ])
-
-/**
- * Reads a datagram.
- *
- * @param data - the datagram
- * @returns the message, or undefined if it is none
- * @internal
- */
-export function parsePeerMessage (data: Uint8Array): PeerMessage | undefined {
-  let value: unknown
-  try {
-    value = JSON.parse(Buffer.from(data.buffer, data.byteOffset, data.byteLength).toString())
-  } catch {
-    // Anything may arrive on a port; the caller counts what cannot be read.
-    return undefined
-  }
-  const parsed = peerMessageSchema.safeParse(value)
-  // The schema checks the shapes; brands exist only at compile time.
-  return parsed.success ? parsed.data as unknown as PeerMessage : undefined
-}
--- a/packages/mesh/src/directory/DirectoryEvent.ts
+++ b/packages/mesh/src/directory/DirectoryEvent.ts
@@ -1,5 +1,6 @@
+import type { Address } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
-import type { BeatMessage } from '../messages/PeerMessage'
+import type { BeatMessage, HelloMessage } from '../messages/PeerMessage'
 import type { MemberRecord } from './Member'
 
 /** The process has opened its ports. @public */
@@ -20,6 +21,15 @@
   readonly slice: 'directory'
   readonly type: 'beatReceived'
   readonly message: BeatMessage
+  /** Address that the beat came from. */
+  readonly from: Address
+}
+
+/** Another node made itself known. @public */
+export interface HelloReceived extends EventBase {
+  readonly slice: 'directory'
+  readonly type: 'helloReceived'
+  readonly message: HelloMessage
 }
 
 /** Time for this node's next beat. @public */
@@ -29,4 +39,4 @@
 }
 
 /** @public */
-export type DirectoryEvent = BeatDue | BeatReceived | NodeStarted | RegistryRead
+export type DirectoryEvent = BeatDue | BeatReceived | HelloReceived | NodeStarted | RegistryRead
--- a/packages/mesh/src/directory/describeSelf.ts
+++ b/packages/mesh/src/directory/describeSelf.ts
@@ -1,6 +1,6 @@
 import { summarizeLoad } from '../admission/summarizeLoad'
 import type { MeshState } from '../MeshState'
-import type { BeatMessage } from '../messages/PeerMessage'
+import type { BeatMessage, HelloMessage } from '../messages/PeerMessage'
 import { toId } from '@lavenderturn/types'
 import type { MemberRecord } from './Member'
 
@@ -22,9 +22,20 @@
 export function composeBeat (state: MeshState): BeatMessage {
   return {
     kind: 'beat',
-    ...describeRecord(state),
+    node: state.identity.nodeId,
+    boot: state.identity.bootId,
     load: summarizeLoad(state),
     revision: state.configuration.current?.revision ?? toId(0),
     leaving: state.lifecycle.stopping
   }
 }
+
+/**
+ * @param state - the node's state
+ * @param wantsReply - whether the receiver is to make itself known in turn
+ * @returns a message that makes this node known
+ * @internal
+ */
+export function composeHello (state: MeshState, wantsReply: boolean): HelloMessage {
+  return { kind: 'hello', ...describeRecord(state), wantsReply }
+}
--- a/packages/mesh/src/directory/directoryTimings.ts
+++ b/packages/mesh/src/directory/directoryTimings.ts
@@ -1,12 +1,12 @@
 import { millis } from '@lavenderturn/types'
 
-/** Time between two beats. A crashed node is noticed by the fourth missing one. */
+/** Time between two beats within a data centre. */
 export const BEAT_INTERVAL = millis(500)
 
 /** Every how manieth beat goes to other data centres as well, where bytes cost the most. */
-export const REMOTE_BEAT_EVERY = 3
+export const REMOTE_BEAT_EVERY = 4
 
-/** Silence after which a node counts as gone: three beats to other data centres, and one lost datagram. */
+/** Silence after which a node counts as gone: more than two beats to other data centres. */
 export const SILENCE_LIMIT = millis(5_000)
 
 /** Silence after which a node no longer counts towards the fleet's size; longer than usual partitions. */
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -1,8 +1,8 @@
 import { millis, type NodeId, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import type { BeatReceived, DirectoryEvent, RegistryRead } from './DirectoryEvent'
-import { composeBeat, describeRecord } from './describeSelf'
+import type { BeatReceived, DirectoryEvent, HelloReceived, RegistryRead } from './DirectoryEvent'
+import { composeBeat, composeHello, describeRecord } from './describeSelf'
 import {
   BEAT_INTERVAL, FIRST_REGISTRY_REPEAT, REGISTRY_INTERVAL, REMOTE_BEAT_EVERY, REMOVAL_LIMIT
 } from './directoryTimings'
@@ -19,6 +19,7 @@
     case 'nodeStarted': return startNode(state)
     case 'registryRead': return readRegistry(state, event)
     case 'beatReceived': return receiveBeat(state, event)
+    case 'helloReceived': return receiveHello(state, event)
     case 'beatDue': return sendBeats(state)
   }
 }
@@ -39,10 +40,10 @@
   directory.registered = true
   directory.registryReadAt = state.now
   const effects: MeshEffect[] = []
-  const beat = composeBeat(state)
+  const message = composeHello(state, true)
   for (const record of records) {
-    // The others may have read the registry before this node's record was in it; the beat makes it known.
-    if (adoptRecord(state, record)) effects.push({ slice: 'peer', type: 'send', to: record.peerAddress, message: beat })
+    // The others may have read the registry before this node's record was in it; the greeting makes it known.
+    if (adoptRecord(state, record)) effects.push({ slice: 'peer', type: 'send', to: record.peerAddress, message })
   }
   forgetRemoved(state, records)
   if (first) {
@@ -64,10 +65,13 @@
   }
 }
 
-function receiveBeat (state: MeshState, { message }: BeatReceived): MeshEffect[] {
+function receiveBeat (state: MeshState, { message, from }: BeatReceived): MeshEffect[] {
   if (message.node === state.identity.nodeId) return []
-  const isNew = adoptRecord(state, message)
-  const member = state.directory.members.get(message.node)!
+  const member = state.directory.members.get(message.node)
+  // A node that is not known, or has restarted, makes itself known when it is greeted.
+  if (member === undefined || member.boot < message.boot) {
+    return [{ slice: 'peer', type: 'send', to: from, message: composeHello(state, true) }]
+  }
   // A beat of an earlier process of that node came late.
   if (member.boot !== message.boot) return []
   member.heardAt = state.now
@@ -75,8 +79,16 @@
   member.loadAt = state.now
   member.revision = message.revision
   member.leaving = message.leaving
-  if (!isNew) return []
-  return [{ slice: 'peer', type: 'send', to: message.peerAddress, message: composeBeat(state) }]
+  return []
+}
+
+function receiveHello (state: MeshState, { message }: HelloReceived): MeshEffect[] {
+  if (message.node === state.identity.nodeId) return []
+  adoptRecord(state, message)
+  const member = state.directory.members.get(message.node)
+  if (member !== undefined && member.boot === message.boot) member.heardAt = state.now
+  if (!message.wantsReply) return []
+  return [{ slice: 'peer', type: 'send', to: message.peerAddress, message: composeHello(state, false) }]
 }
 
 /** @returns whether the record was not known before */
@@ -127,7 +139,7 @@
     if (!toAll && member.dataCentre !== identity.dataCentre) continue
     effects.push({ slice: 'peer', type: 'send', to: member.peerAddress, message })
   }
-  effects.push(...cleanRegistry(state))
+  forgetLeavers(state)
   if (directory.registered && state.now - directory.registryReadAt > REGISTRY_INTERVAL) {
     directory.registryReadAt = state.now
     effects.push({ slice: 'directory', type: 'syncRegistry', own: describeRecord(state) })
@@ -136,9 +148,8 @@
 }
 
 /** Drops nodes that left on purpose; the fleet no longer divides anything among them. */
-function cleanRegistry (state: MeshState): MeshEffect[] {
+function forgetLeavers (state: MeshState): void {
   for (const member of [...state.directory.members.values()]) {
     if (member.leaving && state.now - member.heardAt > REMOVAL_LIMIT) state.directory.members.delete(member.node)
   }
-  return []
 }
--- a/packages/mesh/src/gateway/LocalFirstRanking.ts
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -6,11 +6,14 @@
 import type { GatewayRequest } from './GatewayState'
 import { canRetry } from './retryBudget'
 
-/** Waiting time that a server in another data centre must save; bytes between data centres are paid for. */
-const REMOTE_COST_MS = 200
+/**
+ * Part of the route's target that a server in another data centre must save in waiting time: bytes between data
+ * centres are paid for.
+ */
+const REMOTE_COST_SHARE = 0.25
 
 /** Further waiting time that it must save for each kilobyte of the request's body. */
-const REMOTE_COST_MS_PER_KB = 10
+const REMOTE_COST_MS_PER_KB = 15
 
 /** Spreads requests over servers that are equally good. */
 const SPREAD_MS = 40
@@ -72,7 +75,7 @@
   // A server that is slower than its peers delays the request by the difference.
   cost += Math.max(0, serviceMs - usualMs)
   if (member.dataCentre !== state.identity.dataCentre) {
-    cost += REMOTE_COST_MS + request.bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
+    cost += request.route.target * REMOTE_COST_SHARE + request.bodyBytes / 1_024 * REMOTE_COST_MS_PER_KB
   }
   if (load.suspect) cost += tries ? -TRIAL_GAIN_MS : request.force ? FORCED_SUSPECT_COST_MS : SUSPECT_COST_MS
   if (state.now < member.avoidUntil) cost += AVOIDED_COST_MS
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -24,16 +24,25 @@
   readonly kind: 'beat'
   readonly node: NodeId
   readonly boot: string
-  readonly dataCentre: DataCentreId
-  readonly service: ServiceId
-  readonly peerAddress: Address
-  readonly forwardAddress: Address
   readonly load: LoadSummary
   readonly revision: Revision
   /** The sender stops on purpose. */
   readonly leaving: boolean
 }
 
+/** Makes the sender known to a node that may not know it yet. @public */
+export interface HelloMessage {
+  readonly kind: 'hello'
+  readonly node: NodeId
+  readonly boot: string
+  readonly dataCentre: DataCentreId
+  readonly service: ServiceId
+  readonly peerAddress: Address
+  readonly forwardAddress: Address
+  /** Whether the receiver is to make itself known in turn. */
+  readonly wantsReply: boolean
+}
+
 /** Asks for a slot of the receiver's backend server. @public */
 export interface AskSlotMessage {
   readonly kind: 'askSlot'
@@ -129,6 +138,7 @@
   | BeatMessage
   | CancelMessage
   | CrashMessage
+  | HelloMessage
   | RecalledMessage
   | RecallMessage
   | ReleaseMessage
