--- a/packages/mesh-runtime/src/createMeshNode.ts
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -15,10 +15,13 @@
 import { GatewayHandler } from './gateway/GatewayHandler'
 import { LifecycleHandler } from './LifecycleHandler'
 import { LogHandler } from './LogHandler'
+import type { LogSink } from './LogSink'
 import { type MeshObserver, MeshRuntime } from './MeshRuntime'
 import { PeerHandler } from './peers/PeerHandler'
 import type { RequestProtocol } from './protocol/RequestProtocol'
 import type { AnnouncementProtocol } from './servers/AnnouncementProtocol'
+import { createMetricsServer } from './metrics/createMetricsServer'
+import { MeshMetrics } from './metrics/MeshMetrics'
 import { createAnnouncementServer } from './servers/createAnnouncementServer'
 import { createReadinessServer } from './servers/createReadinessServer'
 import { TimerHandler } from './TimerHandler'
@@ -42,6 +45,8 @@
   readonly configurationSource: ConfigurationSource
   readonly registry: MemberRegistry
   readonly log: ConsolaInstance
+  /** Where the log goes, if it may drop lines; the metrics show how many. */
+  readonly sink?: LogSink
   readonly policies?: Partial<MeshPolicies>
   readonly observers?: readonly MeshObserver[]
   readonly seed?: number
@@ -70,8 +75,10 @@
  * @public
  */
 export function createMeshNode (options: MeshNodeOptions): MeshNode {
-  const { identity, bounds, addresses, log, policies, seed, observers, requestProtocol: protocol } = options
-  const runtime = new MeshRuntime({ state: createMeshState({ identity, bounds, policies, seed }), observers })
+  const { identity, bounds, addresses, log, sink, policies, seed, observers = [], requestProtocol: protocol } = options
+  const metrics = new MeshMetrics()
+  const state = createMeshState({ identity, bounds, policies, seed })
+  const runtime = new MeshRuntime({ state, observers: [metrics, ...observers] })
   const peers = new PeerHandler({ runtime, log, address: identity.peerAddress })
   const admission = new AdmissionHandler({ runtime, protocol })
   const gateway = new GatewayHandler({ runtime, protocol, identity, admission })
@@ -91,7 +98,8 @@
     [callerServer.server, addresses.callers],
     [createForwardServer({ runtime, handler: admission }), identity.forwardAddress],
     [createAnnouncementServer({ runtime, protocol: options.announcementProtocol, log }), addresses.announcements],
-    [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness]
+    [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness],
+    [createMetricsServer({ runtime, metrics, log, sink }), addresses.metrics]
   ]
   return {
     runtime,
--- /dev/null
+++ b/packages/mesh-runtime/src/metrics/MeshMetrics.ts
@@ -0,0 +1,97 @@
+import type { MeshEffect, MeshEvent } from '@lavenderturn/mesh'
+import { type Millis, type RequestId, resultCodes, type ResultName } from '@lavenderturn/types'
+import { MeshObserver } from '../MeshRuntime'
+
+/** Upper bounds in seconds: from what the proxy adds up to the deadlines of slow routes. */
+const DURATION_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** One metric that `/metrics` shows. @internal */
+export interface MetricSeries {
+  readonly name: string
+  readonly help: string
+  readonly values: ReadonlyArray<{ readonly labels: Readonly<Record<string, string>>, readonly value: number }>
+}
+
+/** Counts steps, results and durations. Rendered only when somebody asks, so that counting stays cheap. @public */
+export class MeshMetrics extends MeshObserver {
+  private readonly events = new Map<string, number>()
+  private readonly results = new Map<ResultName, number>()
+  private readonly outcomes = new Map<string, number>()
+  private readonly arrivals = new Map<RequestId, Millis>()
+  private readonly durations = new Array<number>(DURATION_BUCKETS.length + 1).fill(0)
+  private durationSum = 0
+
+  override observe (event: MeshEvent, effects: readonly MeshEffect[]): void {
+    increment(this.events, `${event.slice}/${event.type}`)
+    if (event.slice === 'gateway' && event.type === 'requestArrived') this.arrivals.set(event.requestId, event.at)
+    if (event.slice === 'gateway' && event.type === 'callerGone') this.arrivals.delete(event.requestId)
+    if (event.slice === 'admission' && event.type === 'workEnded') increment(this.outcomes, event.outcome.kind)
+    for (const effect of effects) {
+      if (effect.slice !== 'gateway') continue
+      if (effect.type === 'refuse') increment(this.results, effect.result)
+      if (effect.type === 'refuse' || effect.type === 'relay') this.end(effect.requestId, event.at)
+    }
+  }
+
+  /** @returns everything that has been counted */
+  list (): MetricSeries[] {
+    return [
+      {
+        name: 'lavenderturn_mesh_events_total',
+        help: 'Events reduced',
+        values: [...this.events].map(([key, value]) => {
+          const [slice = '', type = ''] = key.split('/')
+          return { labels: { slice, type }, value }
+        })
+      },
+      {
+        name: 'lavenderturn_mesh_refusals_total',
+        help: 'Requests that the node answered itself, by result code',
+        values: [...this.results].map(([result, value]) => {
+          return { labels: { result, code: String(resultCodes[result].code) }, value }
+        })
+      },
+      {
+        name: 'lavenderturn_mesh_work_total',
+        help: 'Exchanges with the backend server by outcome',
+        values: [...this.outcomes].map(([outcome, value]) => ({ labels: { outcome }, value }))
+      },
+      {
+        name: 'lavenderturn_mesh_request_seconds_bucket',
+        help: 'From the arrival of a request to the start of its answer, cumulative',
+        values: this.listBuckets()
+      },
+      {
+        name: 'lavenderturn_mesh_request_seconds_sum',
+        help: 'Sum of the durations of all answered requests',
+        values: [{ labels: {}, value: this.durationSum }]
+      }
+    ]
+  }
+
+  private end (requestId: RequestId, at: Millis): void {
+    const arrivedAt = this.arrivals.get(requestId)
+    if (arrivedAt === undefined) return
+    this.arrivals.delete(requestId)
+    const seconds = (at - arrivedAt) / MILLISECONDS_PER_SECOND
+    const bucket = DURATION_BUCKETS.findIndex((bound) => seconds <= bound)
+    const index = bucket < 0 ? DURATION_BUCKETS.length : bucket
+    this.durations[index] = this.durations[index]! + 1
+    this.durationSum += seconds
+  }
+
+  private listBuckets (): MetricSeries['values'] {
+    let total = 0
+    return this.durations.map((count, index) => {
+      total += count
+      const bound = DURATION_BUCKETS[index]
+      return { labels: { le: bound === undefined ? '+Inf' : String(bound) }, value: total }
+    })
+  }
+}
+
+function increment<Key> (counts: Map<Key, number>, key: Key): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1)
+}
--- /dev/null
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -0,0 +1,74 @@
+import type { ConsolaInstance } from 'consola'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { LogSink } from '../LogSink'
+import type { MeshRuntime } from '../MeshRuntime'
+import type { MeshMetrics, MetricSeries } from './MeshMetrics'
+
+/** Path of the metrics. */
+export const METRICS_PATH = '/metrics'
+
+/** @internal */
+export interface MetricsServerOptions {
+  readonly runtime: MeshRuntime
+  readonly metrics: MeshMetrics
+  readonly log: ConsolaInstance
+  /** Present if the log may drop lines. */
+  readonly sink?: LogSink
+}
+
+/**
+ * Creates the HTTP server for metrics in the Prometheus text format. It runs on the event loop of the node and answers
+ * also when requests are refused for overload.
+ *
+ * @param options - what is shown
+ * @returns the server, not yet listening
+ * @internal
+ */
+export function createMetricsServer (options: MetricsServerOptions): Server {
+  return createServer((req, res) => {
+    if (req.url !== METRICS_PATH) {
+      res.writeHead(404, { 'content-length': '0' }).end()
+      return
+    }
+    render([...options.metrics.list(), ...listGauges(options)]).then(
+      ({ type, text }) => { res.writeHead(200, { 'content-type': type }).end(text) },
+      (err: unknown) => { fail(options.log, res, err) }
+    )
+  })
+}
+
+function fail (log: ConsolaInstance, res: ServerResponse, err: unknown): void {
+  log.warn('metrics not rendered', { error: String(err) })
+  res.writeHead(500, { 'content-length': '0' }).end()
+}
+
+function listGauges ({ runtime, sink }: MetricsServerOptions): MetricSeries[] {
+  const { requests, members, revision, evacuated } = runtime.query((state) => ({
+    requests: state.gateway.requests.size,
+    members: state.directory.members.size,
+    revision: state.configuration.current?.revision ?? 0,
+    evacuated: state.configuration.evacuated.size
+  }))
+  const gauge = (name: string, help: string, value: number): MetricSeries => {
+    return { name, help, values: [{ labels: {}, value }] }
+  }
+  return [
+    gauge('lavenderturn_mesh_requests_open', 'Requests in flight at the gateway', requests),
+    gauge('lavenderturn_mesh_members', 'Nodes that are known, this one included', members),
+    gauge('lavenderturn_mesh_configuration_revision', 'Revision in force; 0 before the first', revision),
+    gauge('lavenderturn_mesh_data_centres_out', 'Data centres that operators have taken out', evacuated),
+    gauge('lavenderturn_mesh_log_lines_dropped_total', 'Log lines dropped for a slow reader', sink?.dropped ?? 0)
+  ]
+}
+
+/** The library is loaded when somebody asks: most nodes are never asked while they start. */
+async function render (series: readonly MetricSeries[]): Promise<{ readonly type: string, readonly text: string }> {
+  const { Gauge, Registry } = await import('prom-client')
+  const registry = new Registry()
+  for (const { name, help, values } of series) {
+    const labelNames = [...new Set(values.flatMap(({ labels }) => Object.keys(labels)))]
+    const metric = new Gauge({ name, help, labelNames, registers: [registry] })
+    for (const { labels, value } of values) metric.set(labels, value)
+  }
+  return { type: registry.contentType, text: await registry.metrics() }
+}
--- a/packages/mesh/src/MeshState.ts
+++ b/packages/mesh/src/MeshState.ts
@@ -31,7 +31,7 @@
 /** The whole state of a node. Only `reduceMesh` changes it. @public */
 export interface MeshState {
   readonly identity: MeshIdentity
-  readonly bounds: Bounds
+  bounds: Bounds
   readonly policies: MeshPolicies
   readonly random: RandomGenerator
   /** Steady time of the latest event. */
--- a/packages/mesh/src/lifecycle/LifecycleEvent.ts
+++ b/packages/mesh/src/lifecycle/LifecycleEvent.ts
@@ -1,3 +1,4 @@
+import type { Bounds } from '../Bounds'
 import type { EventBase } from '../MeshEvent'
 
 /** The process was asked to stop. @public */
@@ -12,5 +13,12 @@
   readonly type: 'stopDue'
 }
 
+/** The settings file has changed. @public */
+export interface BoundsChanged extends EventBase {
+  readonly slice: 'lifecycle'
+  readonly type: 'boundsChanged'
+  readonly bounds: Bounds
+}
+
 /** @public */
-export type LifecycleEvent = StopAsked | StopDue
+export type LifecycleEvent = BoundsChanged | StopAsked | StopDue
--- a/packages/mesh/src/lifecycle/reduceLifecycle.ts
+++ b/packages/mesh/src/lifecycle/reduceLifecycle.ts
@@ -26,6 +26,10 @@
  */
 export function reduceLifecycle (state: MeshState, event: LifecycleEvent): MeshEffect[] {
   const { lifecycle, now } = state
+  if (event.type === 'boundsChanged') {
+    state.bounds = event.bounds
+    return [{ slice: 'log', type: 'line', level: 'info', message: 'bounds changed', fields: { ...event.bounds } }]
+  }
   if (event.type === 'stopAsked') {
     if (lifecycle.stopping) return []
     lifecycle.stopping = true
