Bound what the keepers of a team's rate give out around a partition

Change: a keeper gives out the share of nodes heard within 1.6 s (2.6 s in other data centres), and a deputy gives out half while the keeper may still serve.

--- /dev/null
+++ b/packages/mesh/src/admission/admission.test.ts
@@ -0,0 +1,259 @@
+import { atTime, makeAnnouncement, makeAskSlot, makeFleetConfiguration, makeMeshState } from '@lavenderturn/fixtures/mesh'
+import { millis, toId } from '@lavenderturn/types'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { AskSlotMessage } from '../messages/PeerMessage'
+import { reduceMesh } from '../reduceMesh'
+import type { Announcement, WorkOutcome } from './AdmissionEvent'
+import type { ReservationId } from './ReservationId'
+import { summarizeLoad } from './summarizeLoad'
+
+function announce (state: MeshState, options: Partial<Announcement> = {}, at = 0): MeshEffect[] {
+  const announcement = makeAnnouncement(options)
+  return reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, at))
+}
+
+function ask (state: MeshState, id: string, options: Partial<AskSlotMessage> = {}, at = 0): MeshEffect[] {
+  const message = makeAskSlot({ reservation: toId(id), ...options })
+  return reduceMesh(state, atTime({ slice: 'admission', type: 'slotAsked', message }, at))
+}
+
+function start (state: MeshState, id: string, at = 0, fingerprint = id): MeshEffect[] {
+  return reduceMesh(state, atTime({
+    slice: 'admission',
+    type: 'workArrived',
+    reservation: toId(id),
+    route: toId('route'),
+    fingerprint: toId(fingerprint),
+    timeout: millis(1_000)
+  }, at))
+}
+
+function end (state: MeshState, id: string, outcome: WorkOutcome, at = 0): MeshEffect[] {
+  return reduceMesh(state, atTime({ slice: 'admission', type: 'workEnded', reservation: toId(id), outcome }, at))
+}
+
+function run (state: MeshState, id: string, outcome: WorkOutcome, at = 0, fingerprint = id): void {
+  ask(state, id, { force: true }, at)
+  start(state, id, at, fingerprint)
+  end(state, id, outcome, at)
+}
+
+function verdicts (effects: readonly MeshEffect[]): string[] {
+  return effects.flatMap((effect) => {
+    if (effect.slice !== 'peer' || effect.message.kind !== 'slot') return []
+    const { reservation, verdict, refusal } = effect.message
+    return [`${reservation} ${refusal ?? verdict}`]
+  })
+}
+
+function dispatches (effects: readonly MeshEffect[]): ReservationId[] {
+  return effects.flatMap((effect) => {
+    return effect.slice === 'admission' && effect.type === 'dispatch' ? [effect.reservation] : []
+  })
+}
+
+const SUCCESS: WorkOutcome = { kind: 'answered', failed: false }
+const FAILURE: WorkOutcome = { kind: 'answered', failed: true }
+
+describe('announcements', () => {
+  it('refuses work before the server has announced itself: it may be leaving and have told the process before', () => {
+    expect(verdicts(ask(makeMeshState(), 'a'))).toEqual(['a closed'])
+  })
+
+  it('sends nothing to a server whose leaving was acknowledged', () => {
+    const state = makeMeshState()
+    announce(state)
+    ask(state, 'a')
+    expect(verdicts(announce(state, { state: 'draining', seq: 2 }))).toEqual([])
+    expect(verdicts(ask(state, 'b'))).toEqual(['b closed'])
+    expect(dispatches(start(state, 'a'))).toEqual([])
+  })
+
+  it('ignores announcements that were overtaken, and those of an earlier life', () => {
+    const state = makeMeshState()
+    announce(state, { startedAt: 2_000, seq: 5 })
+    announce(state, { startedAt: 2_000, seq: 6, state: 'draining' })
+    announce(state, { startedAt: 2_000, seq: 4 })
+    announce(state, { startedAt: 1_000, seq: 9 })
+    expect(verdicts(ask(state, 'a'))).toEqual(['a closed'])
+    announce(state, { startedAt: 3_000, seq: 1 })
+    expect(verdicts(ask(state, 'b'))).toEqual(['b granted'])
+  })
+
+  it('does not let a late farewell of an earlier life end the present one', () => {
+    const state = makeMeshState()
+    announce(state, { startedAt: 2_000 })
+    const endpoint = makeAnnouncement().endpoint
+    reduceMesh(state, atTime({ slice: 'admission', type: 'serverWithdrawn', endpoint, startedAt: 1_000 }, 0))
+    expect(verdicts(ask(state, 'a'))).toEqual(['a granted'])
+    reduceMesh(state, atTime({ slice: 'admission', type: 'serverWithdrawn', endpoint }, 0))
+    expect(verdicts(ask(state, 'b'))).toEqual(['b closed'])
+  })
+
+  it('stops sending when announcements stop', () => {
+    const state = makeMeshState()
+    announce(state)
+    expect(verdicts(ask(state, 'a', {}, 7_000))).toEqual(['a closed'])
+  })
+})
+
+describe('slots', () => {
+  it('never grants more slots than the server has, and serves the most urgent first', () => {
+    const state = makeMeshState()
+    announce(state, { slots: 1 })
+    expect(verdicts(ask(state, 'a'))).toEqual(['a granted'])
+    expect(verdicts(ask(state, 'b', { priority: 2 }))).toEqual(['b queued'])
+    expect(verdicts(ask(state, 'c', { priority: 0 }))).toEqual(['c queued'])
+    start(state, 'a')
+    expect(verdicts(end(state, 'a', SUCCESS))).toEqual(['c granted'])
+  })
+
+  it('frees the slot of a grant that is not used, and refuses its request when it comes late', () => {
+    const state = makeMeshState()
+    announce(state, { slots: 1 })
+    ask(state, 'a')
+    ask(state, 'b')
+    const expired = reduceMesh(state, atTime({ slice: 'admission', type: 'grantExpired', reservation: toId('a') }, 400))
+    expect(verdicts(expired)).toEqual(['b granted'])
+    expect(dispatches(start(state, 'a', 500))).toEqual([])
+  })
+
+  it('says truthfully of a recalled request that it has not run, and never starts it afterwards', () => {
+    const state = makeMeshState()
+    announce(state)
+    ask(state, 'a')
+    const recall = { slice: 'admission', type: 'workRecalled', reservation: toId<ReservationId>('a'), replyTo: toId('x') } as const
+    const [reply] = reduceMesh(state, atTime(recall as Parameters<typeof atTime>[0], 10))
+    expect(reply).toMatchObject({ message: { kind: 'recalled', fate: 'notStarted' } })
+    expect(dispatches(start(state, 'a', 20))).toEqual([])
+  })
+
+  it('promises nothing of a reservation that it does not know: an earlier process may have run it', () => {
+    const recall = { slice: 'admission', type: 'workRecalled', reservation: toId<ReservationId>('z'), replyTo: toId('x') } as const
+    const [reply] = reduceMesh(makeMeshState(), atTime(recall as Parameters<typeof atTime>[0], 10))
+    expect(reply).toMatchObject({ message: { fate: 'unknown' } })
+  })
+
+  it('refuses new work of a data centre that is taken out, also what is queued', () => {
+    const state = makeMeshState()
+    announce(state, { slots: 1 })
+    ask(state, 'a')
+    ask(state, 'b')
+    const confirmed = { steadyAt: millis(0), wallAt: millis(0) }
+    const evacuated = new Set([state.identity.dataCentre])
+    const event = { slice: 'configuration', type: 'configurationRead', evacuated, confirmed } as const
+    expect(verdicts(reduceMesh(state, atTime(event, 1)))).toEqual(['b evacuated'])
+    expect(dispatches(start(state, 'a', 2))).toEqual([])
+  })
+})
+
+describe('cold servers', () => {
+  it('get no more requests in any second than they bear, whatever is asked', () => {
+    const configuration = makeFleetConfiguration({ services: [{ id: toId('stock'), coldRatePerSecond: 10 }] })
+    fc.assert(fc.property(
+      fc.array(fc.tuple(fc.integer({ min: 0, max: 60 }), fc.boolean()), { minLength: 50, maxLength: 200 }),
+      (steps) => {
+        const state = makeMeshState({ configuration })
+        announce(state, { slots: 50 })
+        const sent: number[] = []
+        let now = 0
+        steps.forEach(([pause, ends], index) => {
+          now += pause
+          announce(state, { slots: 50, seq: index + 2 }, now)
+          const effects = [
+            ...ask(state, `r${index}`, {}, now),
+            ...reduceMesh(state, atTime({ slice: 'admission', type: 'queueDue' }, now))
+          ]
+          for (const verdict of verdicts(effects)) {
+            const [id, outcome] = verdict.split(' ') as [string, string]
+            if (outcome !== 'granted') continue
+            sent.push(...dispatches(start(state, id, now)).map(() => now))
+            if (ends) end(state, id, SUCCESS, now)
+          }
+        })
+        for (const at of sent) {
+          expect(sent.filter((other) => other >= at && other < at + 1_000).length).toBeLessThanOrEqual(20)
+        }
+      }
+    ), { seed: 11, numRuns: 60 })
+  })
+})
+
+describe('partial faults', () => {
+  it('keeps requests that cannot be sent again away after one error, and takes them back after two successes', () => {
+    const state = makeMeshState()
+    announce(state)
+    run(state, 'a', FAILURE)
+    expect(verdicts(ask(state, 'b'))).toEqual(['b suspect'])
+    run(state, 'c', SUCCESS, 1)
+    run(state, 'd', SUCCESS, 2)
+    expect(verdicts(ask(state, 'e', {}, 3))).toEqual(['e granted'])
+  })
+
+  it('lets one request at a time try a suspect server out', () => {
+    const state = makeMeshState()
+    announce(state)
+    run(state, 'a', FAILURE)
+    expect(verdicts(ask(state, 'b', { canRetry: true }, 100))).toEqual(['b granted'])
+    expect(verdicts(ask(state, 'c', { canRetry: true }, 110))).toEqual(['c suspect'])
+    expect(verdicts(ask(state, 'd', { force: true }, 110))).toEqual(['d granted'])
+  })
+
+  it('does not suspect a server that fails because a call of its own has failed', () => {
+    const state = makeMeshState()
+    announce(state)
+    state.admission.callFailedAt = millis(100)
+    run(state, 'a', FAILURE, 110)
+    expect(summarizeLoad(state).suspect).toBe(false)
+    run(state, 'b', FAILURE, 200)
+    expect(summarizeLoad(state).suspect).toBe(true)
+  })
+
+  it('does not suspect a server that fails no more than the others of its service', () => {
+    const state = makeMeshState()
+    announce(state)
+    for (const name of ['node-2', 'node-3', 'node-4']) {
+      const record = { ...makeMeshState({ identity: { nodeId: toId(name) } }).directory.members.get(toId(name))! }
+      record.load = { ...record.load, errorShare: 0.5 }
+      record.loadAt = millis(1)
+      state.directory.members.set(record.node, record)
+    }
+    run(state, 'a', FAILURE, 10)
+    expect(summarizeLoad(state).suspect).toBe(false)
+  })
+
+  it('closes a server that refuses connections until it announces itself again', () => {
+    const state = makeMeshState()
+    announce(state)
+    run(state, 'a', { kind: 'unreachable' })
+    expect(verdicts(ask(state, 'b'))).toEqual(['b closed'])
+    announce(state, { seq: 2 })
+    expect(verdicts(ask(state, 'c'))).toEqual(['c granted'])
+  })
+
+  it('closes an address that belongs to another server now', () => {
+    const state = makeMeshState()
+    announce(state)
+    run(state, 'a', { kind: 'declined', misdirected: true })
+    expect(verdicts(ask(state, 'b'))).toEqual(['b closed'])
+  })
+})
+
+describe('requests that crash servers', () => {
+  it('are refused after the second crash; requests that ran beside them once are not', () => {
+    const state = makeMeshState()
+    for (const [life, bystander] of [[1, 'x'], [2, 'y']] as const) {
+      announce(state, { startedAt: life * 1_000, seq: 1 }, life * 1_000)
+      run(state, `p${life}`, { kind: 'broken', reason: 'reset' }, life * 1_000, 'poison')
+      run(state, `b${life}`, { kind: 'broken', reason: 'reset' }, life * 1_000, bystander)
+    }
+    announce(state, { startedAt: 3_000, seq: 1 }, 3_000)
+    ask(state, 'q', { force: true }, 3_000)
+    expect(dispatches(start(state, 'q', 3_000, 'poison'))).toEqual([])
+    ask(state, 'r', { force: true }, 3_000)
+    expect(dispatches(start(state, 'r', 3_000, 'x'))).toEqual(['r'])
+  })
+})
--- a/packages/mesh/src/directory/countMembers.ts
+++ b/packages/mesh/src/directory/countMembers.ts
@@ -1,11 +1,14 @@
 import type { MeshState } from '../MeshState'
-import { REMOVAL_LIMIT } from './directoryTimings'
+import { REACH_LIMIT, REMOVAL_LIMIT } from './directoryTimings'
 import { isAlive } from './isAlive'
+import type { Member } from './Member'
 
 /** @internal */
 export interface MemberCount {
   /** Members that can be reached, this node included. */
   readonly alive: number
+  /** Members that were heard so recently that they cannot have turned to another keeper of a team's rate. */
+  readonly reached: number
   /** Members among which a team's rate is divided. */
   readonly total: number
 }
@@ -20,13 +23,27 @@
  */
 export function countMembers (state: MeshState): MemberCount {
   let alive = 0
+  let reached = 0
   let total = 0
   let removed = 0
   for (const member of state.directory.members.values()) {
     if (member.leaving) continue
     total += 1
+    if (isReached(state, member)) reached += 1
     if (isAlive(state, member)) alive += 1
     else if (state.now - member.heardAt > REMOVAL_LIMIT) removed += 1
   }
-  return alive * 2 > total ? { alive, total: total - removed } : { alive, total }
+  return alive * 2 > total ? { alive, reached, total: total - removed } : { alive, reached, total }
+}
+
+/**
+ * @param state - the node's state
+ * @param member - a member
+ * @returns whether the member was heard so recently that it still uses the keepers that this node would name
+ * @internal
+ */
+export function isReached ({ identity, now }: MeshState, member: Member): boolean {
+  if (member.node === identity.nodeId) return true
+  const isNear = member.dataCentre === identity.dataCentre
+  return now - member.heardAt < (isNear ? REACH_LIMIT.sameDataCentre : REACH_LIMIT.otherDataCentre)
 }
--- a/packages/mesh/src/directory/directoryTimings.ts
+++ b/packages/mesh/src/directory/directoryTimings.ts
@@ -9,6 +9,12 @@
 /** Silence after which a node counts as gone: more than two beats to other data centres. */
 export const SILENCE_LIMIT = millis(5_000)
 
+/**
+ * Silence after which a keeper of a team's rate no longer gives out the share of a node, in its own and in another data
+ * centre. It is short: the node may use its share by itself, or with another keeper, once it is cut off.
+ */
+export const REACH_LIMIT = { sameDataCentre: millis(1_600), otherDataCentre: millis(2_600) }
+
 /** Silence after which a node no longer counts towards the fleet's size; longer than usual partitions. */
 export const REMOVAL_LIMIT = millis(20_000)
 
--- /dev/null
+++ b/packages/mesh/src/quota/quota.test.ts
@@ -0,0 +1,67 @@
+import { makeFleetConfiguration, MeshFleet } from '@lavenderturn/fixtures/mesh'
+import { toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+
+const RATE = 20
+const BURST = 20
+const WINDOW_MS = 5_000
+
+/** The bound of the users: a tenth and twenty requests more than rate and burst in any window. */
+const BOUND = (RATE * WINDOW_MS / 1_000 + BURST) * 1.1 + 20
+
+function makeFleet (deliver?: (from: string, to: string, kind: string, now: number) => number | undefined): MeshFleet {
+  return new MeshFleet({
+    nodes: 6,
+    slots: 200,
+    configuration: makeFleetConfiguration({ teams: [{ id: toId('tent'), ratePerSecond: RATE, burst: BURST }] }),
+    deliver: (from, to, message, now) => deliver === undefined ? 1 : deliver(from, to, message.kind, now)
+  })
+}
+
+function flood (fleet: MeshFleet, { from, until, perSecond }: {
+  readonly from: number, readonly until: number, readonly perSecond: number
+}): void {
+  let index = 0
+  for (let at = from; at < until; at += 1_000 / perSecond) {
+    const id = index++
+    fleet.schedule(at, () => { fleet.request(`node-${1 + id % 6}`, `r${id}`) })
+  }
+  fleet.runUntil(until + 3_000)
+}
+
+function largestWindow (fleet: MeshFleet): number {
+  const times = fleet.runs.map(({ at }) => at)
+  return Math.max(...times.map((at) => times.filter((other) => other >= at && other < at + WINDOW_MS).length))
+}
+
+describe('a team\'s rate', () => {
+  it('refuses nothing to a team inside it', () => {
+    const fleet = makeFleet()
+    flood(fleet, { from: 4_000, until: 14_000, perSecond: RATE * 0.9 })
+    expect(fleet.outcomes.filter(({ result }) => result !== 'answered')).toEqual([])
+  })
+
+  it('is given out in full to a team that asks for eight times as much, and not exceeded', () => {
+    const fleet = makeFleet()
+    flood(fleet, { from: 4_000, until: 14_000, perSecond: RATE * 8 })
+    expect(largestWindow(fleet)).toBeLessThanOrEqual(BOUND)
+    expect(fleet.runs.length).toBeGreaterThan(RATE * 9)
+  })
+
+  it('is not exceeded while two of six nodes are cut off from all others', () => {
+    const cut = new Set(['node-5', 'node-6'])
+    const fleet = makeFleet((from, to, kind, now) => {
+      return now > 6_000 && now < 18_000 && (cut.has(from) || cut.has(to)) ? undefined : 1
+    })
+    flood(fleet, { from: 4_000, until: 22_000, perSecond: RATE * 8 })
+    expect(largestWindow(fleet)).toBeLessThanOrEqual(BOUND)
+  })
+
+  it('is not exceeded while datagrams pass one way only', () => {
+    const fleet = makeFleet((from, to, kind, now) => {
+      return now > 6_000 && now < 18_000 && (from === 'node-1' || from === 'node-2') ? undefined : 1
+    })
+    flood(fleet, { from: 4_000, until: 22_000, perSecond: RATE * 8 })
+    expect(largestWindow(fleet)).toBeLessThanOrEqual(BOUND)
+  })
+})
--- a/packages/mesh/src/quota/reduceQuota.ts
+++ b/packages/mesh/src/quota/reduceQuota.ts
@@ -1,6 +1,6 @@
 import { type Millis, millis } from '@lavenderturn/types'
 import type { TeamRule } from '../configuration/FleetConfiguration'
-import { countMembers } from '../directory/countMembers'
+import { countMembers, isReached } from '../directory/countMembers'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { QuotaEvent } from './QuotaEvent'
@@ -10,7 +10,10 @@
 const MILLISECONDS_PER_SECOND = 1_000
 
 /** Tokens of a new bucket. The keeper before may have given out the whole burst a moment ago. */
-const FIRST_TOKENS = 4
+const FIRST_TOKENS = 2
+
+/** Part of its share that a deputy gives out while the keeper may only be out of reach for those that ask it. */
+const DEPUTY_PART = 0.5
 
 /** How long a node counts among those that use a deputy's bucket. */
 const ASKER_LIFETIME = millis(2_000)
@@ -67,13 +70,14 @@
  * the keeper may still serve all others.
  */
 function findShare (state: MeshState, { id }: TeamRule, bucket: TokenBucket): number {
-  const { alive, total } = countMembers(state)
-  const isKeeper = rankKeepers(state, id)[0]?.node === state.identity.nodeId
-  if (isKeeper) return alive / total
+  const { reached, total } = countMembers(state)
+  const keeper = rankKeepers(state, id)[0]
+  if (keeper?.node === state.identity.nodeId) return reached / total
   for (const [node, askedAt] of bucket.askers) {
     if (state.now - askedAt > ASKER_LIFETIME) bucket.askers.delete(node)
   }
-  return Math.min(1, bucket.askers.size / total)
+  const part = keeper !== undefined && isReached(state, keeper) ? DEPUTY_PART : 1
+  return Math.min(1, bucket.askers.size / total) * part
 }
 
 function fill (
