--- /dev/null
+++ b/standins/store/src/index.ts
@@ -0,0 +1,3 @@
+export * from './reduceStore'
+export * from './startStoreStandin'
+export * from './StoreState'
--- /dev/null
+++ b/standins/store/src/reduceStore.ts
@@ -0,0 +1,120 @@
+import type { StoredChange, StoredRow, StoreFault, StoreState } from './StoreState'
+
+/** A row that a transaction names. */
+export interface RowPlace {
+  readonly table: string
+  readonly key: string
+}
+
+/** What can happen to the stand-in. */
+export type StoreEvent =
+  | {
+    readonly type: 'transaction',
+    readonly callId: number,
+    readonly expect: ReadonlyArray<RowPlace & { readonly ver: number }>,
+    readonly puts: ReadonlyArray<RowPlace & { readonly value: string }>,
+    readonly deletes: readonly RowPlace[]
+  }
+  | { readonly type: 'rowsRead', readonly callId: number, readonly table: string }
+  | { readonly type: 'changesAwaited', readonly callId: number, readonly table: string, readonly after: number }
+  | { readonly type: 'waitOver', readonly callId: number }
+  | { readonly type: 'faultSet', readonly fault: StoreFault }
+  | { readonly type: 'historyDropped' }
+
+/** What the stand-in does: it answers a call, or leaves it open for good. */
+export interface StoreEffect {
+  readonly type: 'answer'
+  readonly callId: number
+  readonly status: number
+  readonly body: Readonly<Record<string, unknown>>
+}
+
+/**
+ * The decisions of the stand-in.
+ *
+ * @param state - its state, updated in place
+ * @param event - what happened
+ * @returns answers to send
+ */
+export function reduceStore (state: StoreState, event: StoreEvent): StoreEffect[] {
+  switch (event.type) {
+    case 'faultSet':
+      state.fault = event.fault
+      return event.fault === 'down' ? refuseWaiters(state) : []
+    case 'historyDropped':
+      state.forgottenVer = state.ver
+      state.history.length = 0
+      return []
+    case 'waitOver': return endWait(state, event.callId)
+  }
+  if (state.fault === 'down') return [answer(event.callId, 503, {})]
+  if (state.fault === 'silent') return []
+  switch (event.type) {
+    case 'transaction': return transact(state, event)
+    case 'rowsRead': return [answer(event.callId, 200, { rows: listRows(state, event.table), ver: state.ver })]
+    case 'changesAwaited': return awaitChanges(state, event)
+  }
+}
+
+function transact (state: StoreState, event: Extract<StoreEvent, { readonly type: 'transaction' }>): StoreEffect[] {
+  const failed = event.expect.some((place) => (state.rows.get(findKey(place))?.ver ?? 0) !== place.ver)
+  if (failed) return [answer(event.callId, 412, { rows: [], ver: state.ver })]
+  state.ver += 1
+  for (const { table, key, value } of event.puts) applyChange(state, { table, key, value, ver: state.ver })
+  for (const { table, key } of event.deletes) applyChange(state, { table, key, ver: state.ver })
+  const effects = state.fault === 'lost' ? [] : [answer(event.callId, 200, { ver: state.ver })]
+  for (const waiter of [...state.waiters.values()]) {
+    const rows = listChanges(state, waiter.table, waiter.after)
+    if (rows.length === 0) continue
+    state.waiters.delete(waiter.callId)
+    effects.push(answer(waiter.callId, 200, { rows, ver: state.ver }))
+  }
+  return effects
+}
+
+function applyChange (state: StoreState, change: StoredChange): void {
+  const { table, key, value, ver } = change
+  if (value === undefined) state.rows.delete(findKey(change))
+  else state.rows.set(findKey(change), { table, key, value, ver })
+  state.history.push(change)
+}
+
+function awaitChanges (
+  state: StoreState,
+  { callId, table, after }: Extract<StoreEvent, { readonly type: 'changesAwaited' }>
+): StoreEffect[] {
+  if (after < state.forgottenVer) return [answer(callId, 410, {})]
+  const rows = listChanges(state, table, after)
+  if (rows.length > 0) return [answer(callId, 200, { rows, ver: state.ver })]
+  state.waiters.set(callId, { callId, table, after })
+  return []
+}
+
+function endWait (state: StoreState, callId: number): StoreEffect[] {
+  if (!state.waiters.delete(callId)) return []
+  return [answer(callId, 200, { rows: [], ver: state.ver })]
+}
+
+function refuseWaiters (state: StoreState): StoreEffect[] {
+  const waiters = [...state.waiters.values()]
+  state.waiters.clear()
+  return waiters.map(({ callId }) => answer(callId, 503, {}))
+}
+
+function listRows (state: StoreState, table: string): StoredRow[] {
+  return [...state.rows.values()].filter((row) => row.table === table)
+    .sort((left, right) => left.key < right.key ? -1 : 1)
+}
+
+function listChanges (state: StoreState, table: string, after: number): Array<Record<string, unknown>> {
+  return state.history.filter((change) => change.table === table && change.ver > after)
+    .map(({ key, value, ver }) => value === undefined ? { key, ver, removed: true } : { key, ver, value })
+}
+
+function answer (callId: number, status: number, body: Readonly<Record<string, unknown>>): StoreEffect {
+  return { type: 'answer', callId, status, body }
+}
+
+function findKey ({ table, key }: RowPlace): string {
+  return `${table}\n${key}`
+}
--- /dev/null
+++ b/standins/store/src/startStoreStandin.ts
@@ -0,0 +1,90 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { json } from 'node:stream/consumers'
+import { type RowPlace, reduceStore, type StoreEvent } from './reduceStore'
+import { createStoreState, type StoreFault } from './StoreState'
+
+/** A running stand-in of the platform's store. */
+export interface StoreStandin {
+  /** `host:port`. */
+  readonly address: string
+  /** Puts a row as the operator does; `undefined` removes it. */
+  readonly put: (table: string, key: string, value: unknown) => void
+  readonly listKeys: (table: string) => string[]
+  readonly setFault: (fault: StoreFault) => void
+  readonly dropHistory: () => void
+  readonly stop: () => void
+}
+
+/**
+ * Starts a stand-in of the platform's store on loopback: rows, transactions and feeds.
+ *
+ * @returns the stand-in
+ */
+export async function startStoreStandin (): Promise<StoreStandin> {
+  const state = createStoreState()
+  const open = new Map<number, ServerResponse>()
+  let nextCall = 1
+  const startedAt = performance.now()
+
+  const reduce = (event: StoreEvent): void => {
+    for (const { callId, status, body } of reduceStore(state, event)) {
+      const res = open.get(callId)
+      open.delete(callId)
+      if (res === undefined) continue
+      const now = `${Math.round(performance.now() - startedAt)}ms`
+      res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...body, now }))
+    }
+  }
+
+  const server = createServer((req, res) => {
+    const callId = nextCall++
+    open.set(callId, res)
+    res.once('close', () => { open.delete(callId) })
+    void readCall(req, callId).then((event) => {
+      if (event === undefined) {
+        res.writeHead(404).end()
+        return
+      }
+      reduce(event)
+      if (event.type !== 'changesAwaited') return
+      const waitMs = Number(new URL(req.url ?? '/', 'http://store').searchParams.get('wait_ms'))
+      setTimeout(() => { reduce({ type: 'waitOver', callId }) }, waitMs).unref()
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    put: (table, key, value) => {
+      const place: RowPlace = { table, key }
+      const text = Buffer.from(JSON.stringify(value) ?? '').toString('base64')
+      const changes = value === undefined
+        ? { puts: [], deletes: [place] }
+        : { puts: [{ ...place, value: text }], deletes: [] }
+      reduce({ type: 'transaction', callId: 0, expect: [], ...changes })
+    },
+    listKeys: (table) => [...state.rows.values()].filter((row) => row.table === table).map(({ key }) => key),
+    setFault: (fault) => { reduce({ type: 'faultSet', fault }) },
+    dropHistory: () => { reduce({ type: 'historyDropped' }) },
+    stop: () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+async function readCall (req: IncomingMessage, callId: number): Promise<StoreEvent | undefined> {
+  const url = new URL(req.url ?? '/', 'http://store')
+  const table = url.searchParams.get('table') ?? ''
+  switch (url.pathname) {
+    case '/lavenderturn/rows-tx': {
+      const { expect, puts, deletes } = await json(req) as Omit<Extract<StoreEvent, { type: 'transaction' }>, 'type'>
+      return { type: 'transaction', callId, expect, puts, deletes }
+    }
+    case '/lavenderturn/rows-get': return { type: 'rowsRead', callId, table }
+    case '/lavenderturn/rows-feed':
+      return { type: 'changesAwaited', callId, table, after: Number(url.searchParams.get('after')) }
+    default: return undefined
+  }
+}
