--- /dev/null
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -0,0 +1,51 @@
+import { makeAskSlot, makeLoad } from '@lavenderturn/fixtures/mesh'
+import type { PeerMessage } from '@lavenderturn/mesh'
+import { toId } from '@lavenderturn/types'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { decodePeerMessage, encodePeerMessage } from './peerCodec'
+
+const load = makeLoad({ suspect: true, errorShare: 0.25 })
+const reservation = toId<never>('boot.1')
+
+const messages: readonly PeerMessage[] = [
+  makeAskSlot(),
+  { kind: 'askToken', grant: toId('g'), node: toId('node-1'), replyTo: toId('10.0.0.1:7'), team: toId('tent') },
+  { kind: 'beat', node: toId('node-1'), boot: 'b', load, revision: toId(4), leaving: false },
+  { kind: 'cancel', reservation },
+  { kind: 'crash', fingerprint: toId('f'), endpoint: toId('server-1'), startedAt: 12 },
+  {
+    kind: 'hello',
+    node: toId('node-1'),
+    boot: 'b',
+    dataCentre: toId('dc-a'),
+    service: toId('stock'),
+    peerAddress: toId('10.0.0.1:7'),
+    forwardAddress: toId('10.0.0.1:8'),
+    wantsReply: true
+  },
+  { kind: 'recall', reservation, replyTo: toId('10.0.0.1:7') },
+  { kind: 'recalled', reservation, fate: 'running' },
+  { kind: 'release', reservation },
+  { kind: 'slot', reservation, verdict: 'refused', refusal: 'suspect', load },
+  { kind: 'slot', reservation, verdict: 'granted', load },
+  { kind: 'started', reservation },
+  { kind: 'token', grant: toId('g'), granted: false, waitMs: 40 }
+]
+
+describe('datagrams', () => {
+  it.each(messages.map((message) => [message.kind, message] as const))('of kind %s come back as they were', (_, message) => {
+    expect(decodePeerMessage(Buffer.from(encodePeerMessage(message)))).toEqual(message)
+  })
+
+  it('that are not messages are dropped and throw nothing', () => {
+    fc.assert(fc.property(fc.uint8Array(), (bytes) => {
+      expect(decodePeerMessage(Buffer.from(bytes))).toBeUndefined()
+    }), { seed: 5, numRuns: 200 })
+    fc.assert(fc.property(fc.constantFrom(...messages), fc.nat(12), fc.jsonValue(), (message, index, value) => {
+      const values = JSON.parse(encodePeerMessage(message)) as unknown[]
+      values[index] = value
+      expect(() => decodePeerMessage(Buffer.from(JSON.stringify(values)))).not.toThrow()
+    }), { seed: 5, numRuns: 300 })
+  })
+})
--- /dev/null
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from 'vitest'
+import { readMeshSettings } from './readMeshSettings'
+
+function makeSettings (changes: Readonly<Record<string, unknown>> = {}): string {
+  return JSON.stringify({
+    nodeId: 'node-1',
+    dataCentre: 'dc-a',
+    service: 'stock',
+    peerAddress: '10.0.0.1:1',
+    forwardAddress: '10.0.0.1:2',
+    callerAddress: '10.0.0.1:3',
+    announcementAddress: '10.0.0.1:4',
+    readinessAddress: '10.0.0.1:5',
+    metricsAddress: '10.0.0.1:6',
+    backendAddress: '10.0.0.1:7',
+    storeAddress: '10.0.0.2:1',
+    announceInterval: '1500ms',
+    bounds: {
+      revoke: '5s',
+      drain: '2s',
+      grace: '6s',
+      coldOver: 1.5,
+      coldSlack: 5,
+      retryRatio: 0.2,
+      retrySlack: 60,
+      retryWindow: '10s'
+    },
+    ...changes
+  })
+}
+
+describe('readMeshSettings', () => {
+  it('reads times with their units, and fills in the log level', () => {
+    const { bounds, logLevel } = readMeshSettings(makeSettings())
+    expect(bounds).toMatchObject({ revoke: 5_000, announceInterval: 1_500 })
+    expect(logLevel).toBe('info')
+  })
+
+  it.each([
+    ['storeAddress', 'nowhere', /storeAddress.*HOST:PORT/],
+    ['announceInterval', '5', /announceInterval.*unit/],
+    ['nodeId', undefined, /nodeId/],
+    ['logLevel', 'loud', /logLevel/]
+  ])('names the field %s when it is wrong, in one line', (name, value, message) => {
+    const read = (): unknown => readMeshSettings(makeSettings({ [name]: value }))
+    expect(read).toThrow(message)
+    expect(read).toThrow(/^[^\n]+$/)
+  })
+
+  it('says that a file without JSON is none', () => {
+    expect(() => readMeshSettings('nodeId = 1')).toThrow(/settings file.*JSON/)
+  })
+})
