--- a/packages/mesh-runtime/src/admission/AdmissionHandler.ts
+++ b/packages/mesh-runtime/src/admission/AdmissionHandler.ts
@@ -47,14 +47,16 @@
    * @param target - where the reply goes
    */
   accept (request: ForwardedRequest, target: ReplyTarget): void {
-    const { reservation, route, fingerprint, timeout } = request
+    const { reservation, callerRequestId, route, fingerprint, timeout } = request
     // A reservation carries one request; a second one never runs.
     if (this.attempts.has(reservation)) {
       target.send({ result: { kind: 'rejected', refusal: 'expired' } })
       return
     }
     this.attempts.set(reservation, { request, target })
-    this.runtime.dispatch({ slice: 'admission', type: 'workArrived', reservation, route, fingerprint, timeout })
+    this.runtime.dispatch({
+      slice: 'admission', type: 'workArrived', reservation, callerRequestId, route, fingerprint, timeout
+    })
   }
 
   /**
--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -69,6 +69,8 @@
 export interface WorkArrived extends AdmissionEventBase {
   readonly type: 'workArrived'
   readonly reservation: ReservationId
+  /** The caller's id of the request, for logs. */
+  readonly callerRequestId: string
   readonly route: RouteId
   readonly fingerprint: Fingerprint
   /** Time left until the request's deadline. */
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -40,6 +40,8 @@
 
 /** The request that uses a reservation. @public */
 export interface Work {
+  /** The caller's id of the request, for logs. */
+  readonly callerRequestId: string
   readonly route: RouteId
   readonly fingerprint: Fingerprint
   readonly startedAt: Millis
--- a/packages/mesh/src/admission/admission.test.ts
+++ b/packages/mesh/src/admission/admission.test.ts
@@ -25,6 +25,7 @@
     slice: 'admission',
     type: 'workArrived',
     reservation: toId(id),
+    callerRequestId: id,
     route: toId('route'),
     fingerprint: toId(fingerprint),
     timeout: millis(1_000)
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -83,16 +83,25 @@
   outcome: WorkOutcome
 ): MeshEffect {
   const failed = outcome.kind === 'answered' ? outcome.failed : undefined
+  const request = work!.callerRequestId
   const reason = outcome.kind === 'broken' ? outcome.reason : undefined
   const elapsedMs = Math.round(now - work!.startedAt)
   const endpoint = admission.server?.endpoint
   return {
     slice: 'log',
     type: 'line',
-    level: 'debug',
+    level: outcome.kind === 'answered' && !outcome.failed ? 'debug' : 'info',
     message: 'work ended',
     fields: {
-      reservation: id, endpoint, route: work!.route, repeatable, outcome: outcome.kind, failed, reason, elapsedMs
+      request,
+      reservation: id,
+      endpoint,
+      route: work!.route,
+      repeatable,
+      outcome: outcome.kind,
+      failed,
+      reason,
+      elapsedMs
     }
   }
 }
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -32,7 +32,7 @@
   }
   const server = admission.server!
   reservation.phase = 'running'
-  reservation.work = { route, fingerprint, startedAt: now }
+  reservation.work = { callerRequestId: event.callerRequestId, route, fingerprint, startedAt: now }
   admission.dispatchTimes.push(now)
   const usual = findRouteTime(state, route) ?? UNKNOWN_SERVICE_MS
   return [
--- a/packages/mesh/src/gateway/endRequest.ts
+++ b/packages/mesh/src/gateway/endRequest.ts
@@ -25,6 +25,7 @@
  * @internal
  */
 export function endRequest (state: MeshState, request: GatewayRequest, end: RequestEnd): MeshEffect[] {
+  const { current } = request
   state.gateway.requests.delete(request.id)
   // Requests without a team are calls of the backend server on this instance, or open to all.
   if (request.team === undefined && end.failed === true) state.admission.callFailedAt = state.now
@@ -35,14 +36,14 @@
     {
       slice: 'log',
       type: 'line',
-      level: 'debug',
+      level: end.failed === true ? 'info' : 'debug',
       message: 'request ended',
       fields: {
         request: request.callerRequestId,
         result: end.result,
         route: request.route.id,
         service: request.service,
-        sent: request.sentTo.size,
+        sentTo: [...request.sentTo, ...current === undefined ? [] : [current.node]].join(),
         elapsedMs: Math.round(state.now - request.arrivedAt)
       }
     }
