--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 // Bundles each program into one file under dist/, so that a node process loads no TypeScript at run time.
 import { build } from 'esbuild'
 import { existsSync } from 'node:fs'
+import { workspacePackages } from './bundle.mjs'
 
 const programs = {
   'lavenderturn-node': 'apps/node/src/main.ts',
@@ -23,17 +24,7 @@
   target: 'node20',
   format: 'esm',
   packages: 'external',
-  alias: {},
   sourcemap: true,
-  plugins: [{
-    // Workspace packages are bundled; packages from the registry stay external.
-    name: 'workspace-packages',
-    setup (context) {
-      context.onResolve({ filter: /^@lavenderturn\// }, async (args) => {
-        const name = args.path.slice('@lavenderturn/'.length)
-        return { path: new URL(`../packages/${name}/src/index.ts`, import.meta.url).pathname }
-      })
-    }
-  }],
+  plugins: [workspacePackages],
   logLevel: 'warning'
 })
