--- a/packages/mesh-runtime/src/admission/BackendExchange.test.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.test.ts
@@ -84,6 +84,25 @@
     agent.destroy()
   })
 
+  it('leaves no listener behind on a connection that many requests use', async () => {
+    const sockets = new Set<Socket>()
+    const address = await startServer((socket) => {
+      sockets.add(socket)
+      socket.write(UNFRAMED.replace('\r\n\r\n', '\r\nContent-Length: 7\r\n\r\n'))
+    })
+    const agent = new ExchangeAgent()
+    const counts: number[] = []
+    agent.on('free', (socket: Socket) => { counts.push(socket.listenerCount('end')) })
+    for (let index = 0; index < 5; index++) {
+      await exchange(address, agent)
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
+    expect(sockets.size).toBe(1)
+    expect(counts).toHaveLength(5)
+    expect(counts[4]).toBe(counts[0])
+    agent.destroy()
+  })
+
   it('tells a server that cannot be connected to from one that broke the request off', async () => {
     const address = await startServer((socket) => { socket.resetAndDestroy() })
     expect((await exchange(address)).outcome).toEqual({ kind: 'broken', reason: 'reset' })
--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -142,7 +142,9 @@
     // When data and a reset arrive together, libuv reports the reset as an orderly end of the stream. The kernel still
     // tells the two apart: a connection that was reset has no peer any more. Node's own listener ends the socket, so
     // that this one has to look first.
-    socket.prependOnceListener('end', () => { if (socket.remotePort === undefined) this.socketFailed = true })
+    const lookAtEnd = (): void => { if (socket.remotePort === undefined) this.socketFailed = true }
+    socket.prependListener('end', lookAtEnd)
+    request.once('close', () => { socket.off('end', lookAtEnd) })
     if (!socket.connecting) {
       this.connected = true
       return
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -1,7 +1,9 @@
+import { type RouteId, toId } from '@lavenderturn/types'
 import { handBackQueue } from '../admission/handBackQueue'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { ConfigurationRead } from './ConfigurationEvent'
+import type { FleetConfiguration } from './FleetConfiguration'
 
 /**
  * Takes over what the store says; a configuration never gives way to one of a lower revision.
@@ -19,6 +21,7 @@
     const { revision } = event.configuration
     if (held.current === undefined || held.current.revision < revision) {
       held.current = event.configuration
+      forgetRemoved(state, event.configuration)
       effects.push({
         slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields: { revision }
       })
@@ -37,3 +40,12 @@
   }
   return effects
 }
+
+/** Drops what was learnt of routes and teams that are no longer there. */
+function forgetRemoved ({ gateway, quota }: MeshState, { routesByHost, teams }: FleetConfiguration): void {
+  for (const team of quota.buckets.keys()) if (!teams.has(team)) quota.buckets.delete(team)
+  const routes = new Set([...routesByHost.values()].flat().map(({ id }) => id))
+  for (const key of gateway.routeTimes.keys()) {
+    if (!routes.has(toId<RouteId>(key.slice(0, key.lastIndexOf('/'))))) gateway.routeTimes.delete(key)
+  }
+}
--- a/packages/mesh/src/quota/quota.test.ts
+++ b/packages/mesh/src/quota/quota.test.ts
@@ -1,6 +1,7 @@
-import { makeFleetConfiguration, MeshFleet } from '@lavenderturn/fixtures/mesh'
-import { toId } from '@lavenderturn/types'
+import { atTime, makeFleetConfiguration, makeMeshState, MeshFleet } from '@lavenderturn/fixtures/mesh'
+import { millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
+import { reduceMesh } from '../reduceMesh'
 
 const RATE = 20
 const BURST = 20
@@ -65,3 +66,20 @@
     expect(largestWindow(fleet)).toBeLessThanOrEqual(BOUND)
   })
 })
+
+describe('buckets', () => {
+  it('of teams that a later configuration no longer has are forgotten', () => {
+    const state = makeMeshState({
+      configuration: makeFleetConfiguration({ teams: [{ id: toId('tent'), ratePerSecond: RATE, burst: BURST }] })
+    })
+    const message = {
+      kind: 'askToken', grant: toId<never>('g'), node: toId<never>('node-2'), replyTo: toId<never>('node-2:1'), team: toId<never>('tent')
+    } as const
+    reduceMesh(state, atTime({ slice: 'quota', type: 'tokenAsked', message }, 1))
+    expect(state.quota.buckets.size).toBe(1)
+    const configuration = makeFleetConfiguration({ revision: 2, teams: [] })
+    const confirmed = { steadyAt: millis(2), wallAt: millis(2) }
+    reduceMesh(state, atTime({ slice: 'configuration', type: 'configurationRead', configuration, confirmed }, 2))
+    expect(state.quota.buckets.size).toBe(0)
+  })
+})
