Give silent calls to the store up for certain, and read again after a failed wait

A call waited on a connection that had gone silent, and on Node 20 AbortSignal.any had let the garbage collector take its AbortSignal.timeout, so that it waited for good. Change: an explicit timer for each call; after a failed call that waited, everything is read at once instead of waiting again.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -2,6 +2,7 @@
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
+import { Deadline } from '../Deadline'
 import type { MeshRuntime } from '../MeshRuntime'
 import { AnswerClock, type CallStart } from './AnswerClock'
 import type { ConfigurationSource, SourceReading } from './ConfigurationSource'
@@ -48,6 +49,8 @@
       } catch (err) {
         if (this.stopped.signal.aborted) return
         this.note(false, err)
+        // A read is answered at once; a call that waits may hang again without telling anything.
+        this.cursor = undefined
         await pause(this.backoff.next())
       }
     }
@@ -76,9 +79,13 @@
   private async call (): Promise<SourceReading | undefined> {
     const { source } = this.options
     const wait = this.cursor === undefined ? 0 : FOLLOW_WAIT
-    const signal = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(wait + CALL_TIMEOUT_MS)])
-    if (this.cursor === undefined) return await source.read(signal)
-    return await source.follow(this.cursor, FOLLOW_WAIT, signal)
+    const deadline = new Deadline(wait + CALL_TIMEOUT_MS, this.stopped.signal)
+    try {
+      if (this.cursor === undefined) return await source.read(deadline.signal)
+      return await source.follow(this.cursor, FOLLOW_WAIT, deadline.signal)
+    } finally {
+      deadline.clear()
+    }
   }
 
   private note (reachable: boolean, err?: unknown): void {
--- a/packages/mesh-runtime/src/directory/DirectoryHandler.ts
+++ b/packages/mesh-runtime/src/directory/DirectoryHandler.ts
@@ -2,6 +2,7 @@
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
+import { Deadline } from '../Deadline'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
 import type { MemberRegistry } from './MemberRegistry'
 
@@ -52,8 +53,8 @@
     const { registry, runtime, log } = this.options
     while (!this.stopped) {
       try {
-        await registry.write(own, AbortSignal.timeout(CALL_TIMEOUT_MS))
-        const records = await registry.list(AbortSignal.timeout(CALL_TIMEOUT_MS))
+        await callWithin(async (signal) => { await registry.write(own, signal) })
+        const records = await callWithin(async (signal) => await registry.list(signal))
         this.backoff.reset()
         this.syncing = false
         runtime.tell({ slice: 'directory', type: 'registryRead', records })
@@ -67,10 +68,19 @@
 
   private async remove (node: MemberRecord['node']): Promise<void> {
     try {
-      await this.options.registry.remove(node, AbortSignal.timeout(CALL_TIMEOUT_MS))
+      await callWithin(async (signal) => { await this.options.registry.remove(node, signal) })
     } catch (err) {
       // The record of a node that does not answer does no harm: nobody sends it anything.
       this.options.log.warn('record not removed', { error: String(err) })
     }
   }
 }
+
+async function callWithin<Result> (call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
+  const deadline = new Deadline(CALL_TIMEOUT_MS)
+  try {
+    return await call(deadline.signal)
+  } finally {
+    deadline.clear()
+  }
+}
