--- /dev/null
+++ b/packages/event-loop/src/index.ts
@@ -0,0 +1,2 @@
+export { EventLoop, type EventLoopOptions } from './EventLoop'
+export { TimerTable } from './TimerTable'
--- a/packages/mesh-runtime/src/MeshRuntime.ts
+++ b/packages/mesh-runtime/src/MeshRuntime.ts
@@ -1,6 +1,6 @@
+import { EventLoop } from '@lavenderturn/event-loop'
 import { type EventBody, type MeshEffect, type MeshEvent, type MeshState, reduceMesh } from '@lavenderturn/mesh'
 import { millis } from '@lavenderturn/types'
-import { dispatch, type Ref, spawn, start, stop, type ActorSystemRef } from 'nact'
 
 /** Runs the effects of one or more slices. @public */
 export abstract class MeshEffectHandler {
@@ -38,18 +38,14 @@
   private readonly state: MeshState
   private readonly observers: readonly MeshObserver[]
   private readonly handlers = new Map<MeshEffect['slice'], MeshEffectHandler>()
-  private readonly pending: MeshEvent[] = []
-  private readonly system: ActorSystemRef = start()
-  private readonly reducerActor: Ref<EventBody>
-  private reducing = false
+  private readonly loop = new EventLoop<EventBody, MeshEvent>({
+    stamp: (body) => ({ ...body, at: millis(performance.now()), wallAt: millis(Date.now()) }),
+    step: (event) => { this.step(event) }
+  })
 
   constructor ({ state, observers = [] }: MeshRuntimeOptions) {
     this.state = state
     this.observers = observers
-    this.reducerActor = spawn(this.system, (_: undefined, event: EventBody) => {
-      this.dispatch(event)
-      return undefined
-    }, 'reducer')
   }
 
   /** @param handler - a handler for the effects of its slices */
@@ -63,24 +59,16 @@
    * @param body - the event; the runtime adds the times
    */
   dispatch (body: EventBody): void {
-    this.pending.push({ ...body, at: millis(performance.now()), wallAt: millis(Date.now()) })
-    // An effect that reports its event at once must not reduce inside the step that started it.
-    if (this.reducing) return
-    this.reducing = true
-    try {
-      for (let event = this.pending.shift(); event !== undefined; event = this.pending.shift()) this.step(event)
-    } finally {
-      this.reducing = false
-    }
+    this.loop.dispatch(body)
   }
 
   /**
-   * Puts an event into the mailbox of the reducer's actor: it waits for a turn of the event loop.
+   * Reduces an event in a later turn of the event loop.
    *
    * @param body - the event; the runtime adds the times when it is reduced
    */
   tell (body: EventBody): void {
-    dispatch(this.reducerActor, body)
+    this.loop.tell(body)
   }
 
   /**
@@ -95,7 +83,7 @@
 
   /** Stops the actors and all handlers. */
   stop (): void {
-    stop(this.system)
+    this.loop.stop()
     for (const handler of new Set(this.handlers.values())) handler.stop()
   }
 
--- a/packages/mesh-runtime/src/TimerHandler.ts
+++ b/packages/mesh-runtime/src/TimerHandler.ts
@@ -1,30 +1,24 @@
-import type { MeshEffect } from '@lavenderturn/mesh'
-import type { TimerId } from '@lavenderturn/types'
+import { TimerTable } from '@lavenderturn/event-loop'
+import type { EventBody, MeshEffect } from '@lavenderturn/mesh'
 import { MeshEffectHandler, type MeshRuntime } from './MeshRuntime'
 
 /** Runs the timers of the reducer. @internal */
 export class TimerHandler extends MeshEffectHandler {
   override readonly slices = ['timer'] as const
-  private readonly timers = new Map<TimerId, NodeJS.Timeout>()
+  private readonly timers: TimerTable<EventBody>
 
-  constructor (private readonly runtime: MeshRuntime) {
+  constructor (runtime: MeshRuntime) {
     super()
+    this.timers = new TimerTable((event) => { runtime.dispatch(event) })
   }
 
   override run (effect: MeshEffect): void {
     if (effect.slice !== 'timer') return
-    clearTimeout(this.timers.get(effect.id))
-    this.timers.delete(effect.id)
-    if (effect.type === 'clear') return
-    const { id, event } = effect
-    this.timers.set(id, setTimeout(() => {
-      this.timers.delete(id)
-      this.runtime.dispatch(event)
-    }, Math.max(0, effect.delay)))
+    if (effect.type === 'clear') this.timers.clear(effect.id)
+    else this.timers.set(effect.id, effect.delay, effect.event)
   }
 
   override stop (): void {
-    for (const timer of this.timers.values()) clearTimeout(timer)
-    this.timers.clear()
+    this.timers.stop()
   }
 }
--- a/packages/runtime/src/Runtime.ts
+++ b/packages/runtime/src/Runtime.ts
@@ -1,7 +1,8 @@
 import {
   createEvent, type EventBody, type NodeEvent, type NodeState, type OutwardEffect, reduce
 } from '@lavenderturn/decisions'
-import { type ActorSystemRef, dispatch, type Ref, spawn, spawnStateless, start, stop } from 'nact'
+import { EventLoop } from '@lavenderturn/event-loop'
+import { dispatch, type Ref, spawnStateless } from 'nact'
 import { Clock, ProcessClock } from './Clock'
 import type { EffectHandler } from './EffectHandler'
 
@@ -34,20 +35,17 @@
   readonly clock: Clock
   private readonly state: NodeState
   private readonly observers: readonly StepObserver[]
-  private readonly system: ActorSystemRef = start()
-  private readonly reducerActor: Ref<EventBody>
+  private readonly loop: EventLoop<EventBody, NodeEvent>
   private readonly handlers = new Map<OutwardEffect['slice'], { handler: EffectHandler, actor: Ref<OutwardEffect> }>()
-  private readonly pending: NodeEvent[] = []
-  private reducing = false
 
   constructor ({ state, clock = new ProcessClock(), observers = [] }: RuntimeOptions) {
     this.state = state
     this.clock = clock
     this.observers = observers
-    this.reducerActor = spawn(this.system, (_: undefined, event: EventBody) => {
-      this.dispatch(event)
-      return undefined
-    }, 'reducer')
+    this.loop = new EventLoop({
+      stamp: (body) => createEvent(body, this.clock.now()),
+      step: (event) => { this.step(event) }
+    })
   }
 
   /**
@@ -58,7 +56,7 @@
   addHandler (handler: EffectHandler): void {
     const name = handler.slices.join('-')
     const actor: Ref<OutwardEffect> = spawnStateless(
-      this.system, (effect: OutwardEffect) => { handler.run(effect) }, name
+      this.loop.system, (effect: OutwardEffect) => { handler.run(effect) }, name
     )
     for (const slice of handler.slices) this.handlers.set(slice, { handler, actor })
   }
@@ -69,15 +67,7 @@
    * @param body - the event; the runtime adds the time
    */
   dispatch (body: EventBody): void {
-    this.pending.push(createEvent(body, this.clock.now()))
-    // An effect that reports its event at once must not reduce inside the step that started it.
-    if (this.reducing) return
-    this.reducing = true
-    try {
-      for (let event = this.pending.shift(); event !== undefined; event = this.pending.shift()) this.step(event)
-    } finally {
-      this.reducing = false
-    }
+    this.loop.dispatch(body)
   }
 
   /**
@@ -86,7 +76,7 @@
    * @param body - the event; the runtime adds the time when it is reduced
    */
   tell (body: EventBody): void {
-    dispatch(this.reducerActor, body)
+    this.loop.tell(body)
   }
 
   /**
@@ -105,7 +95,7 @@
    * @returns when all handlers have stopped
    */
   async stop (): Promise<void> {
-    stop(this.system)
+    this.loop.stop()
     const handlers = new Set([...this.handlers.values()].map(({ handler }) => handler))
     await Promise.all([...handlers].map(async (handler) => await handler.stop()))
   }
--- a/packages/runtime/src/TimerHandler.ts
+++ b/packages/runtime/src/TimerHandler.ts
@@ -1,31 +1,25 @@
-import type { OutwardEffect } from '@lavenderturn/decisions'
-import type { TimerId } from '@lavenderturn/types'
+import type { EventBody, OutwardEffect } from '@lavenderturn/decisions'
+import { TimerTable } from '@lavenderturn/event-loop'
 import { EffectHandler } from './EffectHandler'
 import type { Runtime } from './Runtime'
 
-/** Runs the timers of the reducer. @public */
+/** Runs the timers of the reducer. @internal */
 export class TimerHandler extends EffectHandler {
   override readonly slices = ['timer'] as const
-  private readonly timers = new Map<TimerId, NodeJS.Timeout>()
+  private readonly timers: TimerTable<EventBody>
 
-  constructor (private readonly runtime: Runtime) {
+  constructor (runtime: Runtime) {
     super()
+    this.timers = new TimerTable((event) => { runtime.dispatch(event) })
   }
 
   override run (effect: OutwardEffect): void {
     if (effect.slice !== 'timer') return
-    clearTimeout(this.timers.get(effect.id))
-    this.timers.delete(effect.id)
-    if (effect.type === 'clear') return
-    const { id, event } = effect
-    this.timers.set(id, setTimeout(() => {
-      this.timers.delete(id)
-      this.runtime.dispatch(event)
-    }, Math.max(0, effect.delay)))
+    if (effect.type === 'clear') this.timers.clear(effect.id)
+    else this.timers.set(effect.id, effect.delay, effect.event)
   }
 
   override async stop (): Promise<void> {
-    for (const timer of this.timers.values()) clearTimeout(timer)
-    this.timers.clear()
+    this.timers.stop()
   }
 }
