Decode the parts of a configuration one by one

Cause: one field that the schema did not know (the kind download of the contest sites) made the whole configuration unreadable, and the node then read the store in a loop. A running node refused all keyed requests for the same reason as soon as one team, cluster or host had one broken field.

Change: each route, team, cluster and limit is decoded by itself. Parts that cannot be read are left out and do less, never more. Without the revision or the list of teams the earlier configuration stays in force, is not confirmed, and is reported once in the log, in a metric and by the readiness check.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -84,12 +84,12 @@
       this.cursor = undefined
       return
     }
-    const { configuration, evacuated } = reading
+    const { configuration, evacuated, unreadable } = reading
     const confirmed = this.sourceClock.estimateResponseTime(start, readClocks(), reading.storeTime)
     // Without a known clock offset, read again: the response of a long call would be dated to its start.
     this.cursor = this.sourceClock.isCalibrated ? reading.cursor : undefined
     this.options.runtime.dispatch({
-      slice: 'configuration', type: 'configurationRead', configuration, evacuated, confirmed
+      slice: 'configuration', type: 'configurationRead', configuration, evacuated, unreadable, confirmed
     })
   }
 
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -5,6 +5,8 @@
 export interface ConfigurationReading {
   /** Absent if unchanged since the previous reading, or if it cannot be read. */
   readonly configuration?: FleetConfiguration
+  /** Why the newest configuration cannot be read; repeated with each reading until a readable one is in the source. */
+  readonly unreadable?: string
   /** Data centres that are taken out; absent if unchanged since the previous reading. */
   readonly evacuated?: ReadonlySet<DataCentreId>
   /** Position in the history, to pass to `follow`. */
--- a/packages/mesh-runtime/src/metrics/createMetricsServer.ts
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -42,10 +42,12 @@
 }
 
 function collectGauges ({ runtime, sink }: MetricsServerOptions): MetricSeries[] {
-  const { requests, members, revision, evacuated } = runtime.query((state) => ({
+  const { requests, members, revision, unreadable, unreadableParts, evacuated } = runtime.query((state) => ({
     requests: state.gateway.requests.size,
     members: state.directory.members.size,
     revision: state.configuration.current?.revision ?? 0,
+    unreadable: state.configuration.unreadable === undefined ? 0 : 1,
+    unreadableParts: state.configuration.current?.unreadableParts.length ?? 0,
     evacuated: state.configuration.evacuated.size
   }))
   const gauge = (name: string, help: string, value: number): MetricSeries => {
@@ -55,6 +57,12 @@
     gauge('lavenderturn_mesh_requests_open', 'Requests in flight at the gateway', requests),
     gauge('lavenderturn_mesh_members', 'Nodes that are known, this one included', members),
     gauge('lavenderturn_mesh_configuration_revision', 'Revision in force; 0 before the first', revision),
+    gauge(
+      'lavenderturn_mesh_configuration_unreadable', '1 while the newest configuration cannot be read', unreadable
+    ),
+    gauge(
+      'lavenderturn_mesh_configuration_parts_left_out', 'Parts of the revision in force that cannot be read', unreadableParts
+    ),
     gauge('lavenderturn_mesh_data_centres_out', 'Data centres that operators have taken out', evacuated),
     gauge('lavenderturn_mesh_log_lines_dropped_total', 'Log lines dropped for a slow reader', sink?.droppedLines ?? 0)
   ]
--- a/packages/mesh-runtime/src/servers/createReadinessServer.ts
+++ b/packages/mesh-runtime/src/servers/createReadinessServer.ts
@@ -18,9 +18,12 @@
  */
 export function createReadinessServer ({ runtime, path }: ReadinessServerOptions): Server {
   return createServer((req, res) => {
-    const ready = runtime.query(({ configuration, directory, lifecycle }) =>
-      configuration.current !== undefined && directory.registered && !lifecycle.stopping)
+    const { ready, note } = runtime.query(({ configuration, directory, lifecycle }) => ({
+      ready: configuration.current !== undefined && directory.registered && !lifecycle.stopping,
+      // Routes that need no key are still served, so the node stays ready and states what is wrong.
+      note: configuration.unreadable === undefined ? '' : `configuration cannot be read: ${configuration.unreadable}`
+    }))
     const status = req.url !== path ? 404 : ready ? 200 : 503
-    res.writeHead(status, { 'content-length': '0' }).end()
+    res.writeHead(status, { 'content-length': String(Buffer.byteLength(note)) }).end(note)
   })
 }
--- a/packages/mesh/src/admission/findColdStartDelay.ts
+++ b/packages/mesh/src/admission/findColdStartDelay.ts
@@ -3,6 +3,12 @@
 import { COLD_WINDOW } from './admissionTimings'
 import { countReservations } from './countReservations'
 
+/**
+ * Requests per second that a cold server gets while the configuration does not tell its rate, because that part of it
+ * could not be read.
+ */
+const UNKNOWN_COLD_RATE = 1
+
 /** Requests subtracted from the allowed number, to tolerate small differences between clocks. */
 const COLD_LIMIT_MARGIN = 2
 
@@ -44,7 +50,7 @@
 
 function findRequestLimit (state: MeshState): number {
   const { admission, bounds, configuration, identity, now } = state
-  const coldRate = configuration.current?.services.get(identity.service)?.coldRatePerSecond ?? 0
+  const coldRate = configuration.current?.services.get(identity.service)?.coldRatePerSecond ?? UNKNOWN_COLD_RATE
   if (coldRate === 0) return Number.POSITIVE_INFINITY
   const isCold = now < (admission.server?.coldUntil ?? 0)
   if (isCold) return Math.max(1, Math.floor(coldRate))
--- a/packages/mesh/src/configuration/ConfigurationEvent.ts
+++ b/packages/mesh/src/configuration/ConfigurationEvent.ts
@@ -11,6 +11,8 @@
   readonly configuration?: FleetConfiguration
   /** Absent if unchanged. */
   readonly evacuated?: ReadonlySet<DataCentreId>
+  /** Why the newest configuration cannot be read; absent if it can. It then does not count as confirmed. */
+  readonly unreadable?: string
   /** Clock readings when the call was sent. The answer cannot be older. */
   readonly confirmed: Confirmation
 }
--- a/packages/mesh/src/configuration/ConfigurationState.ts
+++ b/packages/mesh/src/configuration/ConfigurationState.ts
@@ -16,6 +16,8 @@
   /** Data centres that operators have evacuated. */
   evacuated: ReadonlySet<DataCentreId>
   confirmed?: Confirmation
+  /** Why the newest configuration in the store cannot be read; an earlier one stays in force meanwhile. */
+  unreadable?: string
 }
 
 /**
--- a/packages/mesh/src/configuration/FleetConfiguration.ts
+++ b/packages/mesh/src/configuration/FleetConfiguration.ts
@@ -61,7 +61,16 @@
   /** Routes by host, longest prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly RouteRule[]>
   readonly teamsByKey: ReadonlyMap<KeyHash, TeamRule>
+  /** Whether requests on routes that are not public need a key, also if no team could be read. */
+  readonly requiresKeys: boolean
   readonly teams: ReadonlyMap<TeamId, TeamRule>
   readonly services: ReadonlyMap<ServiceId, ServiceRule>
   readonly limits: CallerLimits
+  /**
+   * Path prefixes of routes that could not be read, by host. Their requests are refused, because the route with the
+   * next shorter prefix may lead to another service or need no key.
+   */
+  readonly unreadablePrefixes: ReadonlyMap<string, readonly string[]>
+  /** One entry for each part that was left out because it could not be read: its path and the reason. */
+  readonly unreadableParts: readonly string[]
 }
--- a/packages/mesh/src/gateway/admitRequest.ts
+++ b/packages/mesh/src/gateway/admitRequest.ts
@@ -1,7 +1,7 @@
 import { addMillis, millis, type ResultCodeName, type ServiceId, toId } from '@lavenderturn/types'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RouteRule, TeamRule } from '../configuration/FleetConfiguration'
-import { findRoute } from '../configuration/findRoute'
+import { findRoute, isRouteUnreadable } from '../configuration/findRoute'
 import { isConfigurationConfirmed } from '../configuration/isConfigurationConfirmed'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
@@ -52,9 +52,12 @@
   const { current } = state.configuration
   if (current === undefined) return { kind: 'refused', result: 'unconfirmed' }
   const route = findRoute(current, event.host, event.path)
+  if (isRouteUnreadable(current, { host: event.host, path: event.path, route })) {
+    return { kind: 'refused', result: 'unconfirmed' }
+  }
   if (route === undefined) return { kind: 'refused', result: 'unknownRoute' }
   if (isQuarantined(state, event.fingerprint)) return { kind: 'refused', result: 'quarantined' }
-  if (route.isPublic || current.teams.size === 0) return { kind: 'granted', route }
+  if (route.isPublic || !current.requiresKeys) return { kind: 'granted', route }
   if (!isConfigurationConfirmed(state)) return { kind: 'refused', result: 'unconfirmed' }
   const team = event.keyHash === undefined ? undefined : current.teamsByKey.get(event.keyHash)
   if (team === undefined) return { kind: 'refused', result: 'unknownKey' }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -11,7 +11,7 @@
 export type {
   CallerLimits, Destination, FleetConfiguration, RouteRule, ServiceRule, TeamRule
 } from './configuration/FleetConfiguration'
-export { findRoute } from './configuration/findRoute'
+export { findRoute, isRouteUnreadable } from './configuration/findRoute'
 export { isConfigurationConfirmed } from './configuration/isConfigurationConfirmed'
 export type { DirectoryEffect } from './directory/DirectoryEffect'
 export type { Member, MemberRecord } from './directory/Member'
