Let a few nodes of each data centre follow the store

Change: in each data centre two nodes, and one more for each 50, follow the store. The others query them by datagram twice a second and date what they are told back from their query by the age that the reply states, on both clocks. Followers that do not answer, or that the store does not serve, are replaced within a round; a node that reaches nobody follows by itself. A later revision is fetched from the node that reports it.

--- a/packages/mesh-runtime/src/admission/createForwardServer.ts
+++ b/packages/mesh-runtime/src/admission/createForwardServer.ts
@@ -1,6 +1,7 @@
 import type { ReservationId } from '@lavenderturn/mesh'
 import { millis, toId } from '@lavenderturn/types'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { CONFIGURATION_PATH, type ConfigurationHandler } from '../configuration/ConfigurationHandler'
 import { forwardHeaders } from '../forwardHeaders'
 import type { MeshRuntime } from '../MeshRuntime'
 import { removeConnectionHeaders } from '../protocol/connectionHeaders'
@@ -27,6 +28,7 @@
 export interface ForwardServerOptions {
   readonly runtime: MeshRuntime
   readonly handler: AdmissionHandler
+  readonly configuration: ConfigurationHandler
 }
 
 /**
@@ -42,7 +44,9 @@
   })
   server.on('request', (req, res) => {
     const target = new ConnectionReplyTarget(res)
-    if (req.headers[forwardHeaders.reservation] === undefined) {
+    if (req.url === CONFIGURATION_PATH && req.headers[forwardHeaders.reservation] === undefined) {
+      sendConfiguration(options, res)
+    } else if (req.headers[forwardHeaders.reservation] === undefined) {
       res.writeHead(404, { 'content-length': '0' }).end()
     } else if (req.url === ATTEMPT_RESPONSE_PATH) {
       attachGateway(options, req, target)
@@ -53,6 +57,12 @@
   return server
 }
 
+function sendConfiguration ({ configuration }: ForwardServerOptions, res: ServerResponse): void {
+  const snapshot = configuration.composeSnapshot()
+  if (snapshot === undefined) res.writeHead(503, { 'content-length': '0' }).end()
+  else res.writeHead(200, { 'content-length': String(Buffer.byteLength(snapshot)) }).end(snapshot)
+}
+
 /** Sends the reply over a connection from another node. */
 class ConnectionReplyTarget extends ReplyTarget {
   constructor (readonly res: ServerResponse) {
--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
@@ -32,6 +32,14 @@
     this.calls.push(`follow ${cursor}`)
     return await this.answer('follow', signal)
   }
+
+  override exportDocument (): string | undefined {
+    return undefined
+  }
+
+  override importDocument (): Pick<ConfigurationReading, 'configuration'> {
+    return {}
+  }
 }
 
 let follower: ConfigurationFollower | undefined
--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -8,11 +8,11 @@
 import { type ClockReading, SourceClockEstimator } from './SourceClockEstimator'
 
 /**
- * How long a call waits for a change. A reading without a change confirms the configuration as of its end, so this
- * time plus a slow response must fit into the period for which a confirmation is valid. A shorter wait would cost more,
- * since calls to the store are billed.
+ * How long a call waits for a change. A reading without a change confirms the configuration as of its end, and other
+ * nodes replace this one if its confirmation is not current. A shorter wait would cost more, since calls to the store
+ * are billed.
  */
-const FOLLOW_WAIT_MS = millis(3_000)
+const FOLLOW_WAIT_MS = millis(1_000)
 
 /** Added to the wait of a call to get its timeout, after which the connection is assumed to be silent. */
 const CALL_TIMEOUT_MARGIN_MS = 1_000
@@ -36,9 +36,11 @@
   readonly runtime: MeshRuntime
   readonly source: ConfigurationSource
   readonly log: ConsolaInstance
+  /** Whether to follow the source from the start; true by default. */
+  readonly active?: boolean
 }
 
-/** Reads the configuration and follows its changes by long polling. @internal */
+/** Reads the configuration and follows its changes by long polling, while it is active. @internal */
 export class ConfigurationFollower {
   private readonly options: ConfigurationFollowerOptions
   private readonly backoff = new Backoff(BACKOFF_OPTIONS)
@@ -46,14 +48,24 @@
   private readonly sourceClock = new SourceClockEstimator()
   private cursor: number | undefined
   private isReachable = true
+  private isActive: boolean
+  private isReadRequested = false
+  private wake: (() => void) | undefined
 
   constructor (options: ConfigurationFollowerOptions) {
     this.options = options
+    this.isActive = options.active ?? true
   }
 
-  /** Follows the source until `stop` is called. */
+  /** Follows the source while this is active, until `stop` is called. */
   async run (): Promise<void> {
     while (!this.stopped.signal.aborted) {
+      if (!this.isActive) {
+        this.cursor = undefined
+        if (!this.isReadRequested) await new Promise<void>((resolve) => { this.wake = resolve })
+        if (this.stopped.signal.aborted) return
+      }
+      this.isReadRequested = false
       try {
         await this.pollOnce()
         this.setReachable(true)
@@ -72,9 +84,26 @@
     }
   }
 
+  /**
+   * Starts or stops following the source. A call in progress is completed.
+   *
+   * @param active - whether to follow it
+   */
+  setActive (active: boolean): void {
+    this.isActive = active
+    if (active) this.wake?.()
+  }
+
+  /** Reads the source once if it is not being followed. */
+  requestRead (): void {
+    this.isReadRequested = true
+    this.wake?.()
+  }
+
   /** Makes `run` return. */
   stop (): void {
     this.stopped.abort()
+    this.wake?.()
   }
 
   private async pollOnce (): Promise<void> {
@@ -89,7 +118,7 @@
     // Without a known clock offset, read again: the response of a long call would be dated to its start.
     this.cursor = this.sourceClock.isCalibrated ? reading.cursor : undefined
     this.options.runtime.dispatch({
-      slice: 'configuration', type: 'configurationRead', configuration, evacuated, unreadable, confirmed
+      slice: 'configuration', type: 'configurationRead', configuration, evacuated, unreadable, version: reading.cursor, confirmed
     })
   }
 
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -9,7 +9,7 @@
   readonly unreadable?: string
   /** Data centres that are taken out; absent if unchanged since the previous reading. */
   readonly evacuated?: ReadonlySet<DataCentreId>
-  /** Position in the history, to pass to `follow`. */
+  /** Position in the history, to pass to `follow`; increases with each change of the source. */
   readonly cursor: number
   /** The source's steady clock when it responded; its origin is arbitrary. */
   readonly storeTime: Millis
@@ -36,4 +36,18 @@
    * @throws StoreError if the store rejects the call or its response is invalid
    */
   abstract follow (cursor: number, wait: Millis, signal: AbortSignal): Promise<ConfigurationReading | undefined>
+
+  /**
+   * @returns the newest configuration in the form that `importDocument` of another node reads, or undefined if none was
+   * read
+   */
+  abstract exportDocument (): string | undefined
+
+  /**
+   * Reads a configuration that another node has read from the source.
+   *
+   * @param document - what `exportDocument` of the other node returned
+   * @returns the configuration, or why it cannot be read
+   */
+  abstract importDocument (document: string): Pick<ConfigurationReading, 'configuration' | 'unreadable'>
 }
--- a/packages/mesh-runtime/src/createMeshNode.ts
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -8,6 +8,7 @@
 import { AdmissionHandler } from './admission/AdmissionHandler'
 import { createForwardServer } from './admission/createForwardServer'
 import { ConfigurationFollower } from './configuration/ConfigurationFollower'
+import { ConfigurationHandler } from './configuration/ConfigurationHandler'
 import type { ConfigurationSource } from './configuration/ConfigurationSource'
 import { DirectoryHandler } from './directory/DirectoryHandler'
 import type { MemberRegistry } from './directory/MemberRegistry'
@@ -89,11 +90,15 @@
   const admission = new AdmissionHandler({ runtime, protocol })
   const gateway = new GatewayHandler({ runtime, protocol, identity, admission })
   const callerServer = new CallerServer({ runtime, handler: gateway, protocol })
-  const follower = new ConfigurationFollower({ runtime, source: options.configurationSource, log })
+  const { configurationSource: source } = options
+  // The reducer starts it if this node is one of those that follow the store.
+  const follower = new ConfigurationFollower({ runtime, source, log, active: false })
+  const configuration = new ConfigurationHandler({ runtime, source, follower, log })
   const handlers = [
     peers,
     admission,
     gateway,
+    configuration,
     new DirectoryHandler({ runtime, registry: options.registry, log }),
     new LifecycleHandler({ callerServer, end: options.end }),
     new LogHandler(log),
@@ -102,7 +107,7 @@
   for (const handler of handlers) runtime.addHandler(handler)
   const servers: ReadonlyArray<readonly [Server, Address]> = [
     [callerServer.server, addresses.callers],
-    [createForwardServer({ runtime, handler: admission }), addresses.forward ?? identity.forwardAddress],
+    [createForwardServer({ runtime, handler: admission, configuration }), addresses.forward ?? identity.forwardAddress],
     [createAnnouncementServer({ runtime, protocol: options.announcementProtocol, log }), addresses.announcements],
     [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness],
     [createMetricsServer({ runtime, metrics, log, sink }), addresses.metrics]
@@ -112,8 +117,8 @@
     start: async () => {
       await peers.open()
       for (const [server, address] of servers) await listen(server, address)
-      runtime.dispatch({ slice: 'directory', type: 'nodeStarted' })
       void follower.run()
+      runtime.dispatch({ slice: 'directory', type: 'nodeStarted' })
       log.info('node started', { node: identity.nodeId, boot: identity.bootId, service: identity.service })
     },
     close: () => {
--- a/packages/mesh-runtime/src/peers/PeerHandler.ts
+++ b/packages/mesh-runtime/src/peers/PeerHandler.ts
@@ -87,6 +87,8 @@
   switch (message.kind) {
     case 'beat': return { slice: 'directory', type: 'beatReceived', message, from }
     case 'hello': return { slice: 'directory', type: 'helloReceived', message }
+    case 'askConfirmation': return { slice: 'configuration', type: 'confirmationAsked', message }
+    case 'confirmation': return { slice: 'configuration', type: 'confirmationReported', message }
     case 'askSlot': return { slice: 'admission', type: 'slotAsked', message }
     case 'slot': return { slice: 'gateway', type: 'slotAnswered', message }
     case 'release': return { slice: 'admission', type: 'slotReleased', reservation: message.reservation }
--- a/packages/mesh-runtime/src/peers/peerCodec.test.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -12,7 +12,18 @@
   makeSlotRequest(),
   { kind: 'askToken', grant: toId('g'), node: toId('node-1'), replyTo: toId('10.0.0.1:7'), team: toId('tent') },
   { kind: 'beat', node: toId('node-1'), boot: 'b', load, revision: toId(4), leaving: false, hearsReceiver: true },
+  { kind: 'askConfirmation', query: toId('q'), replyTo: toId('10.0.0.1:7') },
   { kind: 'cancel', reservation },
+  {
+    kind: 'confirmation',
+    query: toId('q'),
+    node: toId('node-1'),
+    following: true,
+    revision: toId(4),
+    version: 90,
+    ageMs: 40,
+    evacuated: [toId('dc-a')]
+  },
   { kind: 'crash', fingerprint: toId('f'), endpoint: toId('server-1'), startedAt: 12 },
   {
     kind: 'hello',
--- a/packages/mesh-runtime/src/peers/peerCodec.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.ts
@@ -9,10 +9,12 @@
  * centres is billed and heartbeats are the most frequent messages. New fields must be appended to their list.
  */
 const FIELDS: { readonly [Name in Kind]: ReadonlyArray<Exclude<keyof Message<Name>, 'kind'>> } = {
+  askConfirmation: ['query', 'replyTo'],
   askSlot: ['reservation', 'replyTo', 'service', 'priority', 'repeatable', 'canRetry', 'acceptSuspect', 'waitMs'],
   askToken: ['grant', 'node', 'replyTo', 'team'],
   beat: ['node', 'boot', 'load', 'revision', 'leaving', 'hearsReceiver'],
   cancel: ['reservation'],
+  confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated'],
   crash: ['fingerprint', 'endpoint', 'startedAt'],
   hello: ['node', 'boot', 'dataCentre', 'service', 'peerAddress', 'forwardAddress', 'wantsReply'],
   recall: ['reservation', 'replyTo'],
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -65,5 +65,16 @@
   }),
   z.object({ kind: z.literal('askToken'), grant: nonEmptyId, node: nonEmptyId, replyTo: nonEmptyId, team: nonEmptyId }),
   z.object({ kind: z.literal('token'), grant: nonEmptyId, granted: z.boolean(), waitMs: nonNegativeNumber }),
+  z.object({ kind: z.literal('askConfirmation'), query: nonEmptyId, replyTo: nonEmptyId }),
+  z.object({
+    kind: z.literal('confirmation'),
+    query: nonEmptyId,
+    node: nonEmptyId,
+    following: z.boolean(),
+    revision: nonNegativeNumber,
+    version: nonNegativeNumber,
+    ageMs: nonNegativeNumber,
+    evacuated: z.array(nonEmptyId)
+  }),
   z.object({ kind: z.literal('crash'), fingerprint: nonEmptyId, endpoint: nonEmptyId, startedAt: z.number() })
 ])
--- a/packages/mesh/src/MeshEffect.ts
+++ b/packages/mesh/src/MeshEffect.ts
@@ -1,5 +1,6 @@
 import type { Address, TimerEffect } from '@lavenderturn/types'
 import type { AdmissionEffect } from './admission/AdmissionEffect'
+import type { ConfigurationEffect } from './configuration/ConfigurationEffect'
 import type { DirectoryEffect } from './directory/DirectoryEffect'
 import type { GatewayEffect } from './gateway/GatewayEffect'
 import type { LifecycleEffect } from './lifecycle/LifecycleEffect'
@@ -26,6 +27,7 @@
 /** Everything that the reducer can request from the runtime. @public */
 export type MeshEffect =
   | AdmissionEffect
+  | ConfigurationEffect
   | DirectoryEffect
   | GatewayEffect
   | LifecycleEffect
--- a/packages/mesh/src/configuration/ConfigurationEvent.ts
+++ b/packages/mesh/src/configuration/ConfigurationEvent.ts
@@ -1,5 +1,6 @@
 import type { DataCentreId } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
+import type { AskConfirmationMessage, ConfirmationMessage } from '../messages/PeerMessage'
 import type { Confirmation } from './ConfigurationState'
 import type { FleetConfiguration } from './FleetConfiguration'
 
@@ -13,9 +14,31 @@
   readonly evacuated?: ReadonlySet<DataCentreId>
   /** Why the newest configuration cannot be read; absent if it can. It then does not count as confirmed. */
   readonly unreadable?: string
+  /** Version of the store at the reading; absent if unknown. */
+  readonly version?: number
   /** Clock readings when the call was sent. The answer cannot be older. */
   readonly confirmed: Confirmation
 }
 
+/** Timer: checks how old the confirmation is and queries other nodes. @public */
+export interface ConfirmationCheckDue extends EventBase {
+  readonly slice: 'configuration'
+  readonly type: 'checkDue'
+}
+
+/** Another node asks for this node's confirmation. @public */
+export interface ConfirmationAsked extends EventBase {
+  readonly slice: 'configuration'
+  readonly type: 'confirmationAsked'
+  readonly message: AskConfirmationMessage
+}
+
+/** Another node reports its confirmation. @public */
+export interface ConfirmationReported extends EventBase {
+  readonly slice: 'configuration'
+  readonly type: 'confirmationReported'
+  readonly message: ConfirmationMessage
+}
+
 /** @public */
-export type ConfigurationEvent = ConfigurationRead
+export type ConfigurationEvent = ConfigurationRead | ConfirmationAsked | ConfirmationCheckDue | ConfirmationReported
--- a/packages/mesh/src/configuration/ConfigurationState.ts
+++ b/packages/mesh/src/configuration/ConfigurationState.ts
@@ -1,5 +1,6 @@
-import type { DataCentreId, Millis } from '@lavenderturn/types'
+import { type DataCentreId, type Millis, millis } from '@lavenderturn/types'
 import type { FleetConfiguration } from './FleetConfiguration'
+import type { RelayState } from './RelayState'
 
 /** When the store last confirmed the configuration in force. */
 export interface Confirmation {
@@ -16,6 +17,9 @@
   /** Data centres that operators have evacuated. */
   evacuated: ReadonlySet<DataCentreId>
   confirmed?: Confirmation
+  /** Version of the store when the content was read; of two contents the one of the greater version is newer. */
+  version: number
+  readonly relay: RelayState
   /** Why the newest configuration in the store cannot be read; an earlier one stays in force meanwhile. */
   unreadable?: string
 }
@@ -25,5 +29,11 @@
  * @internal
  */
 export function createConfigurationState (): ConfigurationState {
-  return { evacuated: new Set() }
+  return {
+    evacuated: new Set(),
+    version: 0,
+    relay: {
+      following: false, queries: new Map(), faults: new Map(), repliedAt: millis(0), fetchUntil: millis(0), nextQuery: 0
+    }
+  }
 }
--- /dev/null
+++ b/packages/mesh/src/configuration/confirmationAge.ts
@@ -0,0 +1,34 @@
+import { type Millis, millis } from '@lavenderturn/types'
+import type { MeshState } from '../MeshState'
+import type { Confirmation } from './ConfigurationState'
+
+/** Age of a confirmation that never came. */
+export const NEVER_CONFIRMED = millis(1_000_000_000)
+
+/**
+ * Finds the age of a confirmation. The greater age of the two clocks counts, because the steady clock stands still on a
+ * suspended machine.
+ *
+ * @param state - the node's state
+ * @param confirmed - the confirmation, if any; by default the node's own
+ * @returns the age
+ * @public
+ */
+export function findConfirmationAge (
+  { configuration, now, wallNow }: MeshState,
+  confirmed: Confirmation | undefined = configuration.confirmed
+): Millis {
+  if (confirmed === undefined) return NEVER_CONFIRMED
+  return millis(Math.max(now - confirmed.steadyAt, wallNow - confirmed.wallAt, 0))
+}
+
+/**
+ * Replaces the node's confirmation unless it has a younger one.
+ *
+ * @param state - the node's state
+ * @param confirmed - a confirmation of the configuration in force
+ * @internal
+ */
+export function acceptConfirmation (state: MeshState, confirmed: Confirmation): void {
+  if (findConfirmationAge(state, confirmed) <= findConfirmationAge(state)) state.configuration.confirmed = confirmed
+}
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -1,53 +1,60 @@
 import { type RouteId, toId } from '@lavenderturn/types'
-import { rejectQueued } from '../admission/rejectQueued'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import type { ConfigurationRead } from './ConfigurationEvent'
+import { applyEvacuated } from './applyEvacuated'
+import { checkConfirmation } from './checkConfirmation'
+import type { ConfigurationEvent, ConfigurationRead } from './ConfigurationEvent'
+import { acceptConfirmation } from './confirmationAge'
 import type { FleetConfiguration } from './FleetConfiguration'
+import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
 
 /** Number of unreadable parts that a log line names, because a line has to stay short. */
 const MAX_LOGGED_PARTS = 10
 
 /**
- * Applies a read of the configuration store. A configuration is never replaced by one of a lower revision.
- *
  * @param state - the node's state
- * @param event - the result of the read
+ * @param event - an event of the configuration
  * @returns effects
  * @internal
  */
-export function reduceConfiguration (state: MeshState, event: ConfigurationRead): MeshEffect[] {
-  const configurationState = state.configuration
-  const effects: MeshEffect[] = []
-  // The keys of a configuration that cannot be read are not known, so it does not count as confirmed.
-  if (event.unreadable === undefined) configurationState.confirmed = event.confirmed
-  effects.push(...noteReadability(state, event))
-  if (event.configuration !== undefined) {
-    const { revision } = event.configuration
-    if (configurationState.current === undefined || configurationState.current.revision < revision) {
-      configurationState.current = event.configuration
-      removeStaleEntries(state, event.configuration)
-      effects.push({
-        slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields: { revision }
-      }, ...logUnreadableParts(event.configuration))
-    }
-  }
-  if (event.evacuated !== undefined) {
-    const changed = [...event.evacuated].join() !== [...configurationState.evacuated].join()
-    // The data centre's servers may be cold when it is put back into service.
-    if (configurationState.evacuated.has(state.identity.dataCentre)) state.admission.lastDisruptionAt = state.now
-    configurationState.evacuated = event.evacuated
-    if (changed) {
-      const dataCentres = [...event.evacuated].join()
-      effects.push({
-        slice: 'log', type: 'line', level: 'info', message: 'data centres taken out', fields: { dataCentres }
-      })
-    }
-    if (configurationState.evacuated.has(state.identity.dataCentre)) effects.push(...rejectQueued(state, 'evacuated'))
+export function reduceConfiguration (state: MeshState, event: ConfigurationEvent): MeshEffect[] {
+  switch (event.type) {
+    case 'configurationRead': return applyReading(state, event)
+    case 'checkDue': return checkConfirmation(state)
+    case 'confirmationAsked': return reportConfirmation(state, event)
+    case 'confirmationReported': return receiveConfirmation(state, event)
   }
+}
+
+/** Applies a reading. A configuration is never replaced by one of a lower revision. */
+function applyReading (state: MeshState, event: ConfigurationRead): MeshEffect[] {
+  const { configuration } = state
+  const { version = configuration.version } = event
+  configuration.relay.fetchUntil = state.now
+  // Another node may have sent what it had read before this node's latest reading.
+  if (version < configuration.version) return []
+  configuration.version = version
+  // The keys of a configuration that cannot be read are not known, so it does not count as confirmed. Neither does the
+  // one in force by a reading of an earlier one.
+  const isSuperseded = (event.configuration?.revision ?? Infinity) < (configuration.current?.revision ?? 0)
+  if (event.unreadable === undefined && !isSuperseded) acceptConfirmation(state, event.confirmed)
+  const effects: MeshEffect[] = noteReadability(state, event)
+  if (event.configuration !== undefined) effects.push(...applyConfiguration(state, event.configuration))
+  if (event.evacuated !== undefined) effects.push(...applyEvacuated(state, event.evacuated))
   return effects
 }
 
+function applyConfiguration (state: MeshState, next: FleetConfiguration): MeshEffect[] {
+  const { current } = state.configuration
+  if (current !== undefined && current.revision >= next.revision) return []
+  state.configuration.current = next
+  removeStaleEntries(state, next)
+  const fields = { revision: next.revision }
+  return [
+    { slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields }, ...logUnreadableParts(next)
+  ]
+}
+
 /** Logs the change between a configuration that can be read and one that cannot, but not each reading of it. */
 function noteReadability ({ configuration }: MeshState, { unreadable }: ConfigurationRead): MeshEffect[] {
   if (configuration.unreadable === unreadable) return []
--- /dev/null
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -0,0 +1,89 @@
+import { addMillis, millis } from '@lavenderturn/types'
+import type { Member } from '../directory/Member'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import type { ConfirmationMessage } from '../messages/PeerMessage'
+import { applyEvacuated } from './applyEvacuated'
+import type { ConfirmationAsked, ConfirmationReported } from './ConfigurationEvent'
+import { CURRENT_AGE, FETCH_TIMEOUT } from './configurationTimings'
+import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
+import type { OpenQuery } from './RelayState'
+
+/**
+ * Tells another node which configuration this node has and how old its confirmation is.
+ *
+ * @param state - the node's state
+ * @param event - the query
+ * @returns the reply, or nothing if this node has no configuration
+ * @internal
+ */
+export function reportConfirmation (state: MeshState, { message }: ConfirmationAsked): MeshEffect[] {
+  const { configuration, identity } = state
+  if (configuration.current === undefined) return []
+  const reply: ConfirmationMessage = {
+    kind: 'confirmation',
+    query: message.query,
+    node: identity.nodeId,
+    following: configuration.relay.following,
+    revision: configuration.current.revision,
+    version: configuration.version,
+    ageMs: Math.ceil(findConfirmationAge(state)),
+    evacuated: [...configuration.evacuated]
+  }
+  return [{ slice: 'peer', type: 'send', to: message.replyTo, message: reply }]
+}
+
+/**
+ * Handles the report of another node. The confirmation is dated back from the time of the query by the age that the
+ * other node states, so that it is never younger than what that node itself was told, however late the report comes.
+ *
+ * @param state - the node's state
+ * @param event - the report
+ * @returns effects
+ * @internal
+ */
+export function receiveConfirmation (state: MeshState, { message }: ConfirmationReported): MeshEffect[] {
+  const { configuration, directory, now } = state
+  const { relay } = configuration
+  const query = relay.queries.get(message.query)
+  if (query === undefined || query.node !== message.node) return []
+  relay.queries.delete(message.query)
+  relay.repliedAt = now
+  recordReliability(state, message)
+  const member = directory.members.get(message.node)
+  const { current } = configuration
+  if (current === undefined || message.revision > current.revision) return fetchConfiguration(state, member)
+  // What an older revision says about the state of the store has been superseded by what this node knows.
+  if (message.revision < current.revision) return []
+  const effects: MeshEffect[] = []
+  if (message.version > configuration.version) {
+    configuration.version = message.version
+    effects.push(...applyEvacuated(state, new Set(message.evacuated)))
+  }
+  if (hasSameEvacuated(state, message)) acceptReport(state, message, query)
+  return effects
+}
+
+function recordReliability ({ configuration }: MeshState, { node, following, ageMs }: ConfirmationMessage): void {
+  const { faults } = configuration.relay
+  if (following && ageMs <= CURRENT_AGE) faults.delete(node)
+  else faults.set(node, following ? 'unserved' : 'absent')
+}
+
+function fetchConfiguration (state: MeshState, member: Member | undefined): MeshEffect[] {
+  const { relay } = state.configuration
+  if (member === undefined || state.now < relay.fetchUntil) return []
+  relay.fetchUntil = addMillis(state.now, FETCH_TIMEOUT)
+  return [{ slice: 'configuration', type: 'fetch', address: member.forwardAddress }]
+}
+
+function hasSameEvacuated ({ configuration }: MeshState, { evacuated }: ConfirmationMessage): boolean {
+  return evacuated.length === configuration.evacuated.size &&
+    evacuated.every((dataCentre) => configuration.evacuated.has(dataCentre))
+}
+
+function acceptReport (state: MeshState, { ageMs }: ConfirmationMessage, { askedAt }: OpenQuery): void {
+  acceptConfirmation(state, {
+    steadyAt: millis(askedAt.steadyAt - ageMs), wallAt: millis(askedAt.wallAt - ageMs)
+  })
+}
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -1,5 +1,6 @@
 import { millis, toId } from '@lavenderturn/types'
 import { REMOTE_TRIAL_OVERDUE } from '../admission/admissionTimings'
+import { scheduleConfirmationCheck } from '../configuration/checkConfirmation'
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
@@ -31,7 +32,12 @@
 
 function startNode (state: MeshState): MeshEffect[] {
   registerMember(state, describeRecord(state))
-  return [{ slice: 'directory', type: 'syncRegistry', own: describeRecord(state) }, scheduleHeartbeat()]
+  return [
+    { slice: 'directory', type: 'syncRegistry', own: describeRecord(state) },
+    { slice: 'configuration', type: 'read' },
+    scheduleHeartbeat(),
+    scheduleConfirmationCheck()
+  ]
 }
 
 function scheduleHeartbeat (): MeshEffect {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -7,10 +7,12 @@
 export type { ReservationId } from './admission/ReservationId'
 export { summarizeLoad } from './admission/summarizeLoad'
 export type { Bounds } from './Bounds'
+export type { ConfigurationEffect } from './configuration/ConfigurationEffect'
 export type { Confirmation } from './configuration/ConfigurationState'
 export type {
   CallerLimits, Destination, FleetConfiguration, RouteRule, ServiceRule, TeamRule
 } from './configuration/FleetConfiguration'
+export { findConfirmationAge } from './configuration/confirmationAge'
 export { findRoute, isRouteUnreadable } from './configuration/findRoute'
 export { isConfigurationConfirmed } from './configuration/isConfigurationConfirmed'
 export type { DirectoryEffect } from './directory/DirectoryEffect'
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -2,6 +2,7 @@
   Address, DataCentreId, EndpointId, Fingerprint, GrantId, NodeId, Revision, ServiceId, TeamId
 } from '@lavenderturn/types'
 import type { ReservationId } from '../admission/ReservationId'
+import type { QueryId } from '../configuration/RelayState'
 
 /** Load and health of a backend server, as reported by its admission. @public */
 export interface LoadSummary {
@@ -147,12 +148,37 @@
   readonly startedAt: number
 }
 
+/** Asks how old the receiver's confirmation of the configuration is. @public */
+export interface AskConfirmationMessage {
+  readonly kind: 'askConfirmation'
+  readonly query: QueryId
+  readonly replyTo: Address
+}
+
+/** Replies to `askConfirmation`. @public */
+export interface ConfirmationMessage {
+  readonly kind: 'confirmation'
+  readonly query: QueryId
+  readonly node: NodeId
+  /** Whether the sender follows the store itself. */
+  readonly following: boolean
+  readonly revision: Revision
+  /** Version of the store at the sender's latest reading. */
+  readonly version: number
+  /** Time in milliseconds since the store confirmed what the sender has. */
+  readonly ageMs: number
+  /** Data centres that operators have taken out. */
+  readonly evacuated: readonly DataCentreId[]
+}
+
 /** Datagrams exchanged between nodes. @public */
 export type PeerMessage =
+  | AskConfirmationMessage
   | AskSlotMessage
   | AskTokenMessage
   | HeartbeatMessage
   | CancelMessage
+  | ConfirmationMessage
   | CrashMessage
   | HelloMessage
   | RecalledMessage
