Send heartbeats to other data centres only between owners of rates and others

Cause: every node sent heartbeats to all others. They were most of the bytes between data centres and grew with the square of the fleet, but only the owners of the teams' rates need those of all nodes.

Change: six nodes of each data centre, chosen from the members alone, may own rates; they exchange heartbeats with everyone, the others only within their data centre and with the owners. A silent owner is replaced, but not while all owners of its data centre are silent.

--- a/packages/mesh/src/admission/findBaselineErrorRate.ts
+++ b/packages/mesh/src/admission/findBaselineErrorRate.ts
@@ -1,3 +1,4 @@
+import { ALIVE_TIMEOUT } from '../directory/directoryTimings'
 import { isAlive } from '../directory/isAlive'
 import { listServers } from '../directory/memberTable'
 import type { MeshState } from '../MeshState'
@@ -21,6 +22,8 @@
   const rates: number[] = []
   for (const member of listServers(directory, identity.service)) {
     if (member.node === identity.nodeId || member.loadReceivedAt === 0) continue
+    // Nodes of other data centres may report their load only in replies.
+    if (state.now - member.loadReceivedAt > ALIVE_TIMEOUT) continue
     if (isAlive(state, member)) rates.push(member.load.errorRate)
   }
   if (rates.length < MIN_SERVERS) return 0
--- a/packages/mesh/src/directory/Member.ts
+++ b/packages/mesh/src/directory/Member.ts
@@ -18,6 +18,13 @@
   /** When its latest datagram was received. */
   lastHeardAt: Millis
   leaving: boolean
+  /** Whether it is one of the nodes that may own the rates of teams. */
+  mayOwnRates: boolean
+  /** Whether it is expected to send heartbeats to this node, and since when. */
+  sendsHeartbeats: boolean
+  expectedSince: Millis
+  /** Until when it may not own rates, because expected heartbeats did not come. */
+  silentUntil: Millis
   /** Whether its latest heartbeat stated that it receives heartbeats from this node. */
   hearsThisNode: boolean
   /** Configuration revision from its latest heartbeat. */
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -11,6 +11,7 @@
   HEARTBEAT_INTERVAL, REGISTRY_INTERVAL, REMOTE_HEARTBEAT_EVERY, REMOVAL_TIMEOUT, SECOND_REGISTRY_READ_DELAY
 } from './directoryTimings'
 import { isAlive } from './isAlive'
+import { updateHeartbeatPartners } from './heartbeatPartners'
 import type { Member, MemberRecord } from './Member'
 import { addMember, removeMember } from './memberTable'
 
@@ -32,6 +33,7 @@
 
 function startNode (state: MeshState): MeshEffect[] {
   registerMember(state, describeRecord(state))
+  updateHeartbeatPartners(state)
   return [
     { slice: 'directory', type: 'syncRegistry', own: describeRecord(state) },
     { slice: 'configuration', type: 'read' },
@@ -57,6 +59,7 @@
     if (registerMember(state, record)) effects.push({ slice: 'peer', type: 'send', to: record.peerAddress, message })
   }
   removeUnlisted(state, records)
+  updateHeartbeatPartners(state)
   if (isFirstRead) {
     const fields = { members: directory.members.size }
     effects.push({ slice: 'log', type: 'line', level: 'info', message: 'registry read', fields })
@@ -136,6 +139,10 @@
     hash: hashText(node),
     lastHeardAt: state.now,
     leaving: false,
+    mayOwnRates: false,
+    sendsHeartbeats: true,
+    expectedSince: state.now,
+    silentUntil: millis(0),
     hearsThisNode: true,
     revision: toId(0),
     load: { open: true, slots: 1, used: 0, queued: 0, suspect: false, errorRate: 0, serviceMs: 0, dueMs: 0 },
@@ -147,6 +154,7 @@
 
 function sendHeartbeats (state: MeshState): MeshEffect[] {
   const { directory, identity } = state
+  updateHeartbeatPartners(state)
   const heartbeats = { heard: composeHeartbeat(state, true), silent: composeHeartbeat(state, false) }
   // A suspect server that its own data centre does not try needs a trial by another one.
   const { suspect, dueMs } = heartbeats.heard.load
@@ -155,6 +163,7 @@
   const effects: MeshEffect[] = [scheduleHeartbeat()]
   for (const member of directory.members.values()) {
     if (member.node === identity.nodeId || member.leaving) continue
+    if (!member.sendsHeartbeats && !needsRemoteTrial) continue
     const silent = !isHeardRecently(state, member)
     // A node whose heartbeats have just stopped arriving is notified at once, because it must no longer grant this
     // node's share of a rate.
--- a/packages/mesh/src/gateway/LocalFirstRanking.ts
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -1,7 +1,9 @@
+import { millis } from '@lavenderturn/types'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { REMOTE_TRIAL_OVERDUE, TRIAL_OVERDUE } from '../admission/admissionTimings'
 import { isAlive } from '../directory/isAlive'
 import type { Member } from '../directory/Member'
+import type { LoadSummary } from '../messages/PeerMessage'
 import type { MeshState } from '../MeshState'
 import { CandidateRanking } from './CandidateRanking'
 import type { GatewayRequest } from './GatewayState'
@@ -46,6 +48,9 @@
 /** Assumed service time while none has been measured. */
 const DEFAULT_SERVICE_MS = 300
 
+/** Time for which the load of a node that sends no heartbeats is used. */
+const LOAD_VALIDITY = millis(4_000)
+
 /**
  * Upper limit of the time for which a sound server has to be due before its mean service time is disregarded. Drawn for
  * each request, so that not all gateways choose the server at the same moment.
@@ -80,7 +85,7 @@
   member: Member,
   { request, medianServiceMs, minTrialOverdueMs }: RankingContext
 ): number {
-  const { load } = member
+  const load = findKnownLoad(state, member)
   const serviceMs = load.serviceMs > 0 ? load.serviceMs : medianServiceMs
   const slots = Math.max(1, load.slots)
   const excess = Math.max(0, load.used + load.queued + 1 - slots)
@@ -103,6 +108,15 @@
   return cost
 }
 
+/**
+ * Finds the load that a member reported. What a node that sends no heartbeats reported long ago says nothing about now;
+ * its reply to the next slot request tells.
+ */
+function findKnownLoad ({ now }: MeshState, { load, loadReceivedAt, sendsHeartbeats }: Member): LoadSummary {
+  if (sendsHeartbeats || now - loadReceivedAt < LOAD_VALIDITY) return load
+  return { ...load, open: true, suspect: false, queued: 0, used: load.slots / 2 }
+}
+
 /** Requests that cannot be retried are offered only if no other request has come in time. */
 function findMinTrialOverdue (state: MeshState, request: GatewayRequest): number {
   if (request.sentTo.size > 0 || request.refusedBy.size >= MAX_REFUSALS_FOR_TRIAL) return Number.POSITIVE_INFINITY
--- a/packages/mesh/src/quota/quota.test.ts
+++ b/packages/mesh/src/quota/quota.test.ts
@@ -12,9 +12,9 @@
 
 type Deliver = (from: string, to: string, kind: string, now: number) => number | undefined
 
-function makeFleet (deliver?: Deliver, dataCentres = 1): MeshFleet {
+function makeFleet (deliver?: Deliver, dataCentres = 1, nodes = 6): MeshFleet {
   return new MeshFleet({
-    nodes: 6,
+    nodes,
     identity: (index) => ({ dataCentre: toId(`dc-${index % dataCentres}`) }),
     slots: 200,
     configuration: makeFleetConfiguration({ teams: [{ id: toId('tent'), ratePerSecond: RATE, burst: BURST }] }),
@@ -98,6 +98,33 @@
   )
 })
 
+describe('a team\'s rate in a fleet in which most nodes exchange no heartbeats with other data centres', () => {
+  const NODES = 30
+  const partitioned = new Set(['node-5', 'node-6', 'node-12', 'node-13'])
+
+  it('admits every request of a team within its rate', async () => {
+    const fleet = makeFleet(undefined, 3, NODES)
+    await flood(fleet, { from: 4_000, until: 10_000, perSecond: RATE * 0.9 })
+    expect(fleet.outcomes.filter(({ result }) => result !== 'answered')).toEqual([])
+  })
+
+  it('is not exceeded while nodes or a data centre are partitioned from the others, or hear but are not heard', async () => {
+    const cuts: ReadonlyArray<(from: string, to: string) => boolean> = [
+      (from, to) => partitioned.has(from) !== partitioned.has(to),
+      (from) => partitioned.has(from),
+      (from, to) => (Number(from.slice(5)) % 3 === 0) !== (Number(to.slice(5)) % 3 === 0),
+      (from, to) => Number(from.slice(5)) % 3 === 0 && Number(to.slice(5)) % 3 !== 0
+    ]
+    for (const isCut of cuts) {
+      const fleet = makeFleet((from, to, kind, now) => {
+        return now > 6_000 && now < 14_000 && isCut(from, to) ? undefined : 1
+      }, 3, NODES)
+      await flood(fleet, { from: 4_000, until: 17_000, perSecond: RATE * 6 })
+      expect(findBusiestWindow(fleet)).toBeLessThanOrEqual(MAX_REQUESTS)
+    }
+  }, 120_000)
+})
+
 describe('buckets', () => {
   it('are removed with the teams that a later configuration no longer contains', () => {
     const state = makeMeshState({
--- a/packages/mesh/src/quota/rankOwners.ts
+++ b/packages/mesh/src/quota/rankOwners.ts
@@ -13,8 +13,8 @@
 
 /**
  * Ranks the nodes that may own a team's rate. The first one is the owner, and the others are fallbacks when it does not
- * reply. The order is the result of rendezvous hashing, so nodes with the same members agree on it without
- * coordination.
+ * reply. They are drawn from the nodes that exchange heartbeats with all others. The order is the result of rendezvous
+ * hashing, so nodes with the same members agree on it without coordination.
  *
  * @param state - the node's state
  * @param query - the team and the number of owners
@@ -25,9 +25,9 @@
   const teamHash = hashText(team)
   const best: Array<{ readonly member: Member, readonly rank: number }> = []
   for (const member of state.directory.members.values()) {
+    if (!member.mayOwnRates || member.leaving || !isAlive(state, member)) continue
     const rank = mixHashes(teamHash, member.hash)
     if (best.length === count && rank <= best[count - 1]!.rank) continue
-    if (member.leaving || !isAlive(state, member)) continue
     if (best.length === count) best.pop()
     const index = best.findIndex((other) => rank > other.rank)
     best.splice(index < 0 ? best.length : index, 0, { member, rank })
