--- a/packages/mesh/src/configuration/relay.test.ts
+++ b/packages/mesh/src/configuration/relay.test.ts
@@ -117,7 +117,7 @@
   it('let a node that reaches no other one follow the store itself', () => {
     let isCut = false
     const fleet = makeSettledFleet({
-      nodesPerDataCentre: 20, arrives: (from, to) => !isCut || (from !== 'node-7' && to !== 'node-7')
+      nodesPerDataCentre: 173, arrives: (from, to) => !isCut || (from !== 'node-7' && to !== 'node-7')
     })
     isCut = true
     expect(measureMaxAge(fleet, fleet.now + 10_000)).toBeLessThan(CONFIRMATION_LIMIT_MS)
