--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -118,7 +118,13 @@
     // Without a known clock offset, read again: the response of a long call would be dated to its start.
     this.cursor = this.sourceClock.isCalibrated ? reading.cursor : undefined
     this.options.runtime.dispatch({
-      slice: 'configuration', type: 'configurationRead', configuration, evacuated, unreadable, version: reading.cursor, confirmed
+      slice: 'configuration',
+      type: 'configurationRead',
+      configuration,
+      evacuated,
+      unreadable,
+      version: reading.cursor,
+      confirmed
     })
   }
 
--- a/packages/mesh/src/directory/heartbeatPartners.ts
+++ b/packages/mesh/src/directory/heartbeatPartners.ts
@@ -7,7 +7,7 @@
 
 /**
  * Nodes of each data centre that may own the rates of teams. Only they need the heartbeats of all nodes, so that the
- * heartbeats between data centres don't grow with the square of the fleet.
+ * heartbeats between data centres do not grow with the square of the fleet.
  */
 const RATE_OWNERS_PER_DATA_CENTRE = 6
 
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -10,8 +10,8 @@
 import {
   HEARTBEAT_INTERVAL, MAX_HELLOS, REGISTRY_INTERVAL, REMOTE_HEARTBEAT_EVERY, REMOVAL_TIMEOUT
 } from './directoryTimings'
-import { isAlive } from './isAlive'
 import { updateHeartbeatPartners } from './heartbeatPartners'
+import { isAlive } from './isAlive'
 import type { Member, MemberRecord } from './Member'
 import { addMember, removeMember } from './memberTable'
 
