Refuse messages whose headers cannot be sent on

Cause: the parser of Node.js 20.19 lets a header name pass that ends with a space, while its client and server refuse to send it. The error ended the process of both kinds of nodes, whether a caller or a backend server had sent the header.

Change: hasForwardableHeaders checks requests of callers and responses of backend servers and nodes.

--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -1,6 +1,6 @@
 import type { WorkOutcome } from '@lavenderturn/mesh'
 import type { Address } from '@lavenderturn/types'
-import { type ExchangeAgent, limitInterimResponses, splitAddress } from '@lavenderturn/runtime'
+import { type ExchangeAgent, hasForwardableHeaders, limitInterimResponses, splitAddress } from '@lavenderturn/runtime'
 import { type ClientRequest, type IncomingMessage, request as startRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import { removeConnectionHeaders } from '../protocol/connectionHeaders'
@@ -80,7 +80,7 @@
       const status = response.statusCode ?? 0
       const headers = parseRawHeaders(response.rawHeaders)
       const responseClass = this.options.protocol.classifyResponse({ status, headers }, this.options.callerRequestId)
-      if (responseClass === 'foreign') {
+      if (responseClass === 'foreign' || !hasForwardableHeaders(response.rawHeaders)) {
         this.request?.destroy()
         return { outcome: { kind: 'broken', reason: 'foreign' } }
       }
@@ -110,8 +110,9 @@
   }
 
   private async handleFailure (agent: ExchangeAgent | undefined): Promise<BackendResult> {
-    const request = this.request!
-    const { answered } = this
+    const { answered, request } = this
+    // The client did not accept the headers, which says nothing about the server.
+    if (request === undefined) return { outcome: { kind: 'aborted' } }
     request.destroy()
     if (this.aborted === 'aborted') return { outcome: { kind: 'aborted' } }
     if (this.aborted === 'timeout') return { outcome: { kind: 'broken', reason: 'timeout' } }
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -1,4 +1,5 @@
 import type { CallerLimits } from '@lavenderturn/mesh'
+import { hasForwardableHeaders } from '@lavenderturn/runtime'
 import { type KeyHash, millis, type RequestId, type ResultCodeName, toId } from '@lavenderturn/types'
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -66,6 +67,7 @@
     const head: RequestHead = {
       method: req.method ?? 'GET', target: req.url ?? '/', headers: parseRawHeaders(req.rawHeaders)
     }
+    if (!hasForwardableHeaders(req.rawHeaders)) return this.refuse(res, 'malformedRequest', 'a header is not valid')
     const fields = protocol.parseCallerRequest(head)
     if (typeof fields === 'string') return this.refuse(res, 'malformedRequest', fields)
     let body: Buffer
--- a/packages/runtime/src/exchange/Exchange.ts
+++ b/packages/runtime/src/exchange/Exchange.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from '../splitAddress'
 import type { ExchangeAgent } from './ExchangeAgent'
 import { ExchangeError } from './ExchangeError'
+import { hasForwardableHeaders } from './hasForwardableHeaders'
 import { limitInterimResponses } from './limitInterimResponses'
 import { probeAddress } from './probeAddress'
 import { ProgressMonitor, type ProgressMonitorOptions } from './ProgressMonitor'
@@ -87,6 +88,11 @@
       limitInterimResponses(this.request, () => { this.cancel('truncated') })
       this.request.on('socket', (socket) => { this.monitorSocket(socket) })
       this.request.on('response', (response) => {
+        if (!hasForwardableHeaders(response.rawHeaders)) {
+          response.on('error', () => { /* The error of the request is reported. */ })
+          this.cancel('truncated')
+          return
+        }
         this.handleResponse(response)
         resolve(response)
       })
--- a/packages/runtime/src/gateway/createCallerServer.ts
+++ b/packages/runtime/src/gateway/createCallerServer.ts
@@ -3,6 +3,7 @@
 } from '@lavenderturn/types'
 import { createHash, randomUUID } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { hasForwardableHeaders } from '../exchange/hasForwardableHeaders'
 import { handleMalformedRequests } from '../handleMalformedRequests'
 import { hasSupportedTransferCoding } from '../hasSupportedTransferCoding'
 import { headers } from '../headers'
@@ -97,7 +98,7 @@
 function isWellFormed (req: IncomingMessage): boolean {
   const { url, headersDistinct, httpVersion } = req
   // Transfer codings other than `chunked` would be lost, because each connection has its own framing.
-  if (!hasSupportedTransferCoding(req)) return false
+  if (!hasSupportedTransferCoding(req) || !hasForwardableHeaders(req.rawHeaders)) return false
   // Node silently keeps only the first of several `authorization` headers.
   if ((headersDistinct.authorization?.length ?? 0) > 1) return false
   const hosts = headersDistinct.host?.length ?? 0
