--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -3,6 +3,7 @@
 import type { MeshState } from '../MeshState'
 import type { Announcement, ServerAnnounced, ServerWithdrawn } from './AdmissionEvent'
 import type { LocalServer } from './AdmissionState'
+import { countReservations } from './countReservations'
 import { createGrayFailureState } from './GrayFailureDetector'
 import { rejectQueued } from './rejectQueued'
 import { reportCrash } from './reportCrash'
@@ -20,7 +21,9 @@
 export function handleAnnouncement (state: MeshState, { announcement }: ServerAnnounced): MeshEffect[] {
   const { admission } = state
   const server = admission.server
-  if (server !== undefined && isOutdated(server, announcement)) return []
+  if (server !== undefined && isOutdated(server, announcement)) {
+    return [describeIgnored('announcement outdated', announcement, server)]
+  }
   if (server === undefined || isNewIncarnation(server, announcement)) return startIncarnation(state, announcement)
   const wasClosed = server.state !== 'ready' || !server.reachable
   server.seq = announcement.seq
@@ -29,7 +32,9 @@
   server.reachable = true
   server.coldUntil = addMillis(state.now, announcement.coldRemaining)
   // A server that is shutting down does not become ready again in the same incarnation.
-  if (announcement.state === 'draining' && server.state === 'ready') return closeServer(state, server, 'draining')
+  if (announcement.state === 'draining' && server.state === 'ready') {
+    return closeServer(state, server, { nextState: 'draining', source: 'announcement' })
+  }
   return wasClosed ? grantQueued(state) : []
 }
 
@@ -43,9 +48,23 @@
  */
 export function handleWithdrawal (state: MeshState, { endpoint, startedAt }: ServerWithdrawn): MeshEffect[] {
   const { server } = state.admission
-  if (server === undefined || server.endpoint !== endpoint || server.state === 'gone') return []
-  if (startedAt !== undefined && startedAt < server.startedAt) return []
-  return closeServer(state, server, 'gone')
+  if (server?.endpoint === endpoint && server.state === 'gone') return []
+  const isOfEarlierIncarnation = startedAt !== undefined && server !== undefined && startedAt < server.startedAt
+  if (server?.endpoint !== endpoint || isOfEarlierIncarnation) {
+    return [describeIgnored('withdrawal ignored', { endpoint, startedAt }, server)]
+  }
+  return closeServer(state, server, { nextState: 'gone', source: 'withdrawal' })
+}
+
+/** Describes a call of a backend server that does not change what this node knows about its server. */
+function describeIgnored (
+  message: string,
+  { endpoint, startedAt, seq }: Partial<Pick<Announcement, 'endpoint' | 'startedAt' | 'seq'>>,
+  server: LocalServer | undefined
+): MeshEffect {
+  const current = { current: server?.endpoint, currentStartedAt: server?.startedAt, currentSeq: server?.seq }
+  const fields = { endpoint, startedAt, seq, ...current, state: server?.state }
+  return { slice: 'log', type: 'line', level: 'info', message, fields }
 }
 
 function isOutdated (server: LocalServer, { startedAt, seq, endpoint }: Announcement): boolean {
@@ -75,15 +94,23 @@
   Object.assign(admission.grayFailure, createGrayFailureState())
   admission.suspicion = undefined
   admission.lastDisruptionAt = now
-  const fields = { endpoint, slots, state: announcement.state, coldMs: coldRemaining }
+  const fields = { endpoint, startedAt, seq, slots, state: announcement.state, coldMs: coldRemaining }
   effects.push({ slice: 'log', type: 'line', level: 'info', message: 'backend server announced', fields })
   if (announcement.state === 'draining') return effects.concat(rejectQueued(state, 'closed'))
   return effects.concat(grantQueued(state))
 }
 
-function closeServer (state: MeshState, server: LocalServer, nextState: 'draining' | 'gone'): MeshEffect[] {
+interface Closing {
+  readonly nextState: 'draining' | 'gone'
+  /** How the node learned that the server leaves. */
+  readonly source: 'announcement' | 'withdrawal'
+}
+
+function closeServer (state: MeshState, server: LocalServer, { nextState, source }: Closing): MeshEffect[] {
   server.state = nextState
-  const fields = { endpoint: server.endpoint, state: nextState }
+  const { endpoint, startedAt } = server
+  const running = countReservations(state.admission, 'running')
+  const fields = { endpoint, startedAt, state: nextState, source, running }
   return [
     { slice: 'log', type: 'line', level: 'info', message: 'backend server leaves', fields },
     { slice: 'timer', type: 'clear', id: toId('admission/queue') },
