--- /dev/null
+++ b/packages/mesh/src/admission/departures.test.ts
@@ -0,0 +1,55 @@
+import { atTime, makeAnnouncement, makeMeshState, makeSlotRequest } from '@lavenderturn/fixtures/mesh'
+import { toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import type { MeshState } from '../MeshState'
+import { reduceMesh } from '../reduceMesh'
+import type { Announcement } from './AdmissionEvent'
+
+function announce (state: MeshState, options: Partial<Announcement>, at: number): void {
+  const announcement = makeAnnouncement(options)
+  reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, at))
+}
+
+function withdraw (state: MeshState, { endpoint, startedAt }: Partial<Announcement>, at: number): void {
+  reduceMesh(state, atTime({ slice: 'admission', type: 'serverWithdrawn', endpoint: endpoint!, startedAt }, at))
+}
+
+/** Requests a slot and returns the reply. */
+function ask (state: MeshState, id: string, at: number): string {
+  const message = makeSlotRequest({ reservation: toId(id) })
+  const effects = reduceMesh(state, atTime({ slice: 'admission', type: 'slotAsked', message }, at))
+  const replies = effects.flatMap((effect) => {
+    return effect.slice === 'peer' && effect.message.kind === 'slot' ? [effect.message.refusal ?? effect.message.verdict] : []
+  })
+  return replies.join()
+}
+
+describe('departures of servers that the node does not know', () => {
+  // Guards against a withdrawal that overtakes the first announcement, is acknowledged and then forgotten.
+  it('ignores a late announcement of a server that has withdrawn', () => {
+    const state = makeMeshState()
+    const { endpoint, startedAt } = makeAnnouncement()
+    withdraw(state, { endpoint, startedAt }, 0)
+    announce(state, {}, 2_000)
+    expect(ask(state, 'a', 4_000)).toBe('closed')
+  })
+
+  // Guards against a withdrawal of the next incarnation that overtakes its announcement.
+  it('ignores a late announcement of an incarnation that has withdrawn, after an earlier one was known', () => {
+    const state = makeMeshState()
+    const { endpoint } = makeAnnouncement()
+    announce(state, { startedAt: 1_000 }, 0)
+    withdraw(state, { endpoint, startedAt: 9_000 }, 10_000)
+    announce(state, { startedAt: 9_000 }, 11_000)
+    expect(ask(state, 'a', 11_100)).toBe('closed')
+  })
+
+  // Guards against a server that stays closed although a later incarnation of it has started.
+  it('accepts the announcement of a later incarnation', () => {
+    const state = makeMeshState()
+    const { endpoint } = makeAnnouncement()
+    withdraw(state, { endpoint, startedAt: 1_000 }, 0)
+    announce(state, { startedAt: 9_000 }, 10_000)
+    expect(ask(state, 'a', 10_100)).toBe('granted')
+  })
+})
