Record departures of backend servers before acknowledging them

What callers saw: requests still reached a backend server that had said it was leaving (DRAIN).

Cause: a departure was known only to the process that acknowledged it, and only for the incarnation it knew. A process that started later, or had not seen the first announcement, took a late announcement of the server as new.

Change: a departure is written to the store before it is acknowledged, also for incarnations that have not announced themselves, and the condition of a node's first write returns it without another call. Until the registry was read the server stays closed. While the store does not answer, the server is closed and its call gets 503, since a promise that the next process cannot know of must not be given.

--- a/packages/mesh-runtime/src/createMeshNode.ts
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -23,7 +23,7 @@
 import type { AnnouncementProtocol } from './servers/AnnouncementProtocol'
 import { createMetricsServer } from './metrics/createMetricsServer'
 import { MeshMetrics } from './metrics/MeshMetrics'
-import { createAnnouncementServer } from './servers/createAnnouncementServer'
+import { AnnouncementServer } from './servers/AnnouncementServer'
 import { createReadinessServer } from './servers/createReadinessServer'
 import { TimerHandler } from './TimerHandler'
 
@@ -90,6 +90,7 @@
   const admission = new AdmissionHandler({ runtime, protocol })
   const gateway = new GatewayHandler({ runtime, protocol, identity, admission })
   const callerServer = new CallerServer({ runtime, handler: gateway, protocol })
+  const announcements = new AnnouncementServer({ runtime, protocol: options.announcementProtocol, log })
   const { configurationSource: source } = options
   // The reducer starts it if this node is one of those that follow the store.
   const follower = new ConfigurationFollower({ runtime, source, log, active: false })
@@ -98,8 +99,9 @@
     peers,
     admission,
     gateway,
+    announcements,
     configuration,
-    new DirectoryHandler({ runtime, registry: options.registry, log }),
+    new DirectoryHandler({ runtime, node: identity.nodeId, registry: options.registry, log }),
     new LifecycleHandler({ callerServer, end: options.end }),
     new LogHandler(log),
     new TimerHandler(runtime)
@@ -108,7 +110,7 @@
   const servers: ReadonlyArray<readonly [Server, Address]> = [
     [callerServer.server, addresses.callers],
     [createForwardServer({ runtime, handler: admission, configuration }), addresses.forward ?? identity.forwardAddress],
-    [createAnnouncementServer({ runtime, protocol: options.announcementProtocol, log }), addresses.announcements],
+    [announcements.server, addresses.announcements],
     [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness],
     [createMetricsServer({ runtime, metrics, log, sink }), addresses.metrics]
   ]
--- a/packages/mesh-runtime/src/directory/DirectoryHandler.ts
+++ b/packages/mesh-runtime/src/directory/DirectoryHandler.ts
@@ -1,4 +1,5 @@
-import type { MemberRecord, MeshEffect } from '@lavenderturn/mesh'
+import type { Departure, MemberRecord, MeshEffect } from '@lavenderturn/mesh'
+import type { NodeId } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
@@ -14,6 +15,8 @@
 /** @internal */
 export interface DirectoryHandlerOptions {
   readonly runtime: MeshRuntime
+  /** This node. */
+  readonly node: NodeId
   readonly registry: MemberRegistry
   readonly log: ConsolaInstance
 }
@@ -38,8 +41,16 @@
 
   override run (effect: MeshEffect): void {
     if (effect.slice !== 'directory') return
-    if (effect.type === 'syncRegistry') void this.syncRecords(effect.own)
-    else void this.remove(effect.node)
+    switch (effect.type) {
+      case 'syncRegistry':
+        void this.syncRecords(effect.own)
+        break
+      case 'recordDeparture':
+        void this.recordDeparture(effect.departure)
+        break
+      case 'dropRecord':
+        void this.remove(effect.node)
+    }
   }
 
   override stop (): void {
@@ -52,11 +63,11 @@
     const { registry, runtime, log } = this.options
     while (!this.stopped) {
       try {
-        await callWithTimeout(async (signal) => { await registry.write(own, signal) })
+        const departure = await callWithTimeout(async (signal) => await registry.write(own, signal))
         const records = await callWithTimeout(async (signal) => await registry.list(signal))
         this.backoff.reset()
         this.isSyncing = false
-        runtime.enqueue({ slice: 'directory', type: 'registryRead', records })
+        runtime.enqueue({ slice: 'directory', type: 'registryRead', records, departure })
         return
       } catch (err) {
         log.warn('registry does not answer', { error: String(err) })
@@ -65,6 +76,16 @@
     }
   }
 
+  private async recordDeparture (departure: Departure): Promise<void> {
+    const { registry, runtime, node } = this.options
+    try {
+      await callWithTimeout(async (signal) => { await registry.recordDeparture(node, departure, signal) })
+      runtime.enqueue({ slice: 'admission', type: 'departureRecorded', departure })
+    } catch (err) {
+      runtime.enqueue({ slice: 'admission', type: 'departureNotRecorded', departure, reason: String(err) })
+    }
+  }
+
   private async remove (node: MemberRecord['node']): Promise<void> {
     try {
       await callWithTimeout(async (signal) => { await this.options.registry.remove(node, signal) })
--- a/packages/mesh/src/MeshEffect.ts
+++ b/packages/mesh/src/MeshEffect.ts
@@ -1,5 +1,6 @@
 import type { Address, TimerEffect } from '@lavenderturn/types'
 import type { AdmissionEffect } from './admission/AdmissionEffect'
+import type { AnnouncementEffect } from './admission/AnnouncementEffect'
 import type { ConfigurationEffect } from './configuration/ConfigurationEffect'
 import type { DirectoryEffect } from './directory/DirectoryEffect'
 import type { GatewayEffect } from './gateway/GatewayEffect'
@@ -27,6 +28,7 @@
 /** Everything that the reducer can request from the runtime. @public */
 export type MeshEffect =
   | AdmissionEffect
+  | AnnouncementEffect
   | ConfigurationEffect
   | DirectoryEffect
   | GatewayEffect
--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -1,6 +1,8 @@
 import type { Address, EndpointId, Fingerprint, Millis, RouteId, ServiceId } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
 import type { AskSlotMessage, CrashMessage } from '../messages/PeerMessage'
+import type { AnnouncementId } from './AnnouncementId'
+import type { Departure } from './Departure'
 import type { ReservationId } from './ReservationId'
 
 interface AdmissionEventBase extends EventBase {
@@ -26,6 +28,8 @@
 export interface ServerAnnounced extends AdmissionEventBase {
   readonly type: 'serverAnnounced'
   readonly announcement: Announcement
+  /** Absent if the server waits for no response. */
+  readonly call?: AnnouncementId
 }
 
 /** The backend server of this instance announced that it is shutting down. @public */
@@ -34,6 +38,27 @@
   readonly endpoint: EndpointId
   /** Absent if the server did not state which incarnation is ending. */
   readonly startedAt?: number
+  /** Absent if the server waits for no response. */
+  readonly call?: AnnouncementId
+}
+
+/** The registry holds the record of a departure. @public */
+export interface DepartureRecorded extends AdmissionEventBase {
+  readonly type: 'departureRecorded'
+  readonly departure: Departure
+}
+
+/** The registry did not confirm the record of a departure. @public */
+export interface DepartureNotRecorded extends AdmissionEventBase {
+  readonly type: 'departureNotRecorded'
+  readonly departure: Departure
+  /** Error of the call, for logs. */
+  readonly reason: string
+}
+
+/** Timer: writes the record of a departure again. @public */
+export interface DepartureDue extends AdmissionEventBase {
+  readonly type: 'departureDue'
 }
 
 /** A gateway requested a slot. @public */
@@ -149,6 +174,9 @@
 export type AdmissionEvent =
   | ConnectionLost
   | CrashReported
+  | DepartureDue
+  | DepartureNotRecorded
+  | DepartureRecorded
   | GrantExpired
   | QueueDue
   | ResultExpired
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -1,4 +1,6 @@
 import { type Address, type EndpointId, type Fingerprint, type Millis, millis, type RouteId } from '@lavenderturn/types'
+import type { AnnouncementId } from './AnnouncementId'
+import type { Departure } from './Departure'
 import { createGrayFailureState, type GrayFailureState } from './GrayFailureDetector'
 import type { ReservationId } from './ReservationId'
 
@@ -69,6 +71,12 @@
 export interface AdmissionState {
   /** Absent until the backend server has announced itself to this process. */
   server?: LocalServer
+  /** Latest departure of a backend server of this instance. */
+  departure?: Departure
+  /** Whether the registry holds `departure`, so that later processes of this node know it. */
+  isDepartureRecorded: boolean
+  /** Calls that report `departure` and wait until it is recorded. */
+  readonly unacknowledgedCalls: AnnouncementId[]
   readonly grayFailure: GrayFailureState
   /** Absent while the server is sound. */
   suspicion?: Suspicion
@@ -106,6 +114,8 @@
  */
 export function createAdmissionState (): AdmissionState {
   return {
+    isDepartureRecorded: false,
+    unacknowledgedCalls: [],
     grayFailure: createGrayFailureState(),
     reservations: new Map(),
     dispatchTimes: [],
--- a/packages/mesh/src/admission/admissionTimings.ts
+++ b/packages/mesh/src/admission/admissionTimings.ts
@@ -45,6 +45,9 @@
 /** Time after which a trial without a result no longer blocks the next one. */
 export const TRIAL_TIMEOUT = millis(1_000)
 
+/** Pause before the record of a departure is written again. */
+export const DEPARTURE_RETRY_DELAY = millis(500)
+
 /** Missed announcement intervals after which a server counts as gone. */
 export const MAX_MISSED_ANNOUNCEMENTS = 4
 
--- a/packages/mesh/src/admission/departures.test.ts
+++ b/packages/mesh/src/admission/departures.test.ts
@@ -44,6 +44,15 @@
     expect(ask(state, 'a', 11_100)).toBe('closed')
   })
 
+  // Guards against a departure that is ignored because a later announcement was received first.
+  it('closes a server whose draining announcement was overtaken by another one', () => {
+    const state = makeMeshState()
+    announce(state, { seq: 1 }, 0)
+    announce(state, { seq: 3 }, 1_000)
+    announce(state, { seq: 2, state: 'draining' }, 1_100)
+    expect(ask(state, 'a', 1_200)).toBe('closed')
+  })
+
   // Guards against a server that stays closed although a later incarnation of it has started.
   it('accepts the announcement of a later incarnation', () => {
     const state = makeMeshState()
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -4,37 +4,49 @@
 import type { Announcement, ServerAnnounced, ServerWithdrawn } from './AdmissionEvent'
 import type { LocalServer } from './AdmissionState'
 import { countReservations } from './countReservations'
+import { type Departure, hasDeparted } from './Departure'
 import { createGrayFailureState } from './GrayFailureDetector'
+import { acknowledgeDeparture, recordDeparture } from './recordDeparture'
 import { rejectQueued } from './rejectQueued'
 import { reportCrash } from './reportCrash'
 import { grantQueued } from './grantQueued'
 
 /**
- * Applies an announcement of this instance's backend server. Announcements of earlier incarnations and those overtaken
- * by later ones are ignored.
+ * Applies an announcement of this instance's backend server. Announcements of earlier incarnations, those overtaken by
+ * later ones and those of servers that have left are ignored.
  *
  * @param state - the node's state
  * @param event - the announcement
  * @returns effects
  * @internal
  */
-export function handleAnnouncement (state: MeshState, { announcement }: ServerAnnounced): MeshEffect[] {
-  const { admission } = state
-  const server = admission.server
-  if (server !== undefined && isOutdated(server, announcement)) {
-    return [describeIgnored('announcement outdated', announcement, server)]
+export function handleAnnouncement (state: MeshState, { announcement, call }: ServerAnnounced): MeshEffect[] {
+  const effects = applyAnnouncement(state, announcement)
+  if (announcement.state === 'draining') return effects.concat(acknowledgeDeparture(state, call))
+  return call === undefined ? effects : [...effects, { slice: 'announcement', type: 'acknowledge', call, accepted: true }]
+}
+
+function applyAnnouncement (state: MeshState, announcement: Announcement): MeshEffect[] {
+  const { admission: { departure, server } } = state
+  const isDraining = announcement.state === 'draining'
+  if (!isDraining && hasDeparted(departure, announcement)) {
+    return [describeIgnored('announcement of a departed server', announcement, server)]
+  }
+  if (server === undefined) return startIncarnation(state, announcement)
+  // A server that is shutting down does not become ready again in the same incarnation, whatever the order in which its
+  // announcements arrive.
+  if (isDraining && server.state === 'ready' && isSameIncarnation(server, announcement)) {
+    server.seq = Math.max(server.seq, announcement.seq)
+    return closeServer(state, server, { nextState: 'draining', source: 'announcement' })
   }
-  if (server === undefined || isNewIncarnation(server, announcement)) return startIncarnation(state, announcement)
+  if (isOutdated(server, announcement)) return [describeIgnored('announcement outdated', announcement, server)]
+  if (!isSameIncarnation(server, announcement)) return startIncarnation(state, announcement)
   const wasClosed = server.state !== 'ready' || !server.reachable
   server.seq = announcement.seq
   server.slots = announcement.slots
   server.lastAnnouncedAt = state.now
   server.reachable = true
   server.coldUntil = addMillis(state.now, announcement.coldRemaining)
-  // A server that is shutting down does not become ready again in the same incarnation.
-  if (announcement.state === 'draining' && server.state === 'ready') {
-    return closeServer(state, server, { nextState: 'draining', source: 'announcement' })
-  }
   return wasClosed ? grantQueued(state) : []
 }
 
@@ -46,14 +58,40 @@
  * @returns effects
  * @internal
  */
-export function handleWithdrawal (state: MeshState, { endpoint, startedAt }: ServerWithdrawn): MeshEffect[] {
-  const { server } = state.admission
-  if (server?.endpoint === endpoint && server.state === 'gone') return []
-  const isOfEarlierIncarnation = startedAt !== undefined && server !== undefined && startedAt < server.startedAt
-  if (server?.endpoint !== endpoint || isOfEarlierIncarnation) {
+export function handleWithdrawal (state: MeshState, event: ServerWithdrawn): MeshEffect[] {
+  return [...applyWithdrawal(state, event), ...acknowledgeDeparture(state, event.call)]
+}
+
+function applyWithdrawal (state: MeshState, { endpoint, startedAt }: ServerWithdrawn): MeshEffect[] {
+  const { admission: { server }, wallNow } = state
+  if (server === undefined) return recordDeparture(state, { endpoint, startedAt: startedAt ?? wallNow })
+  const isOfEarlierIncarnation = startedAt !== undefined && startedAt < server.startedAt
+  if (isOfEarlierIncarnation || (startedAt === undefined && endpoint !== server.endpoint)) {
     return [describeIgnored('withdrawal ignored', { endpoint, startedAt }, server)]
   }
-  return closeServer(state, server, { nextState: 'gone', source: 'withdrawal' })
+  // The withdrawal may be that of a later incarnation, and overtake its first announcement.
+  const departure = recordDeparture(state, { endpoint, startedAt: startedAt ?? server.startedAt })
+  if (endpoint !== server.endpoint || server.state === 'gone') return departure
+  return [...departure, ...closeServer(state, server, { nextState: 'gone', source: 'withdrawal' })]
+}
+
+/**
+ * Applies a departure that an earlier process of this node has recorded.
+ *
+ * @param state - the node's state
+ * @param departure - the recorded departure
+ * @returns effects
+ * @internal
+ */
+export function restoreDeparture (state: MeshState, departure: Departure): MeshEffect[] {
+  const { admission } = state
+  // A departure that this process has learned of is later than the recorded one.
+  if (admission.departure !== undefined) return []
+  admission.departure = departure
+  admission.isDepartureRecorded = true
+  const { server } = admission
+  if (server?.state !== 'ready' || !hasDeparted(departure, server)) return []
+  return closeServer(state, server, { nextState: 'gone', source: 'registry' })
 }
 
 /** Describes a call of a backend server that does not change what this node knows about its server. */
@@ -72,8 +110,8 @@
   return endpoint === server.endpoint && seq <= server.seq
 }
 
-function isNewIncarnation (server: LocalServer, { startedAt, endpoint }: Announcement): boolean {
-  return startedAt !== server.startedAt || endpoint !== server.endpoint
+function isSameIncarnation (server: LocalServer, { startedAt, endpoint }: Announcement): boolean {
+  return startedAt === server.startedAt && endpoint === server.endpoint
 }
 
 function startIncarnation (state: MeshState, announcement: Announcement): MeshEffect[] {
@@ -96,14 +134,14 @@
   admission.lastDisruptionAt = now
   const fields = { endpoint, startedAt, seq, slots, state: announcement.state, coldMs: coldRemaining }
   effects.push({ slice: 'log', type: 'line', level: 'info', message: 'backend server announced', fields })
-  if (announcement.state === 'draining') return effects.concat(rejectQueued(state, 'closed'))
-  return effects.concat(grantQueued(state))
+  if (announcement.state === 'ready') return effects.concat(grantQueued(state))
+  return [...effects, ...recordDeparture(state, { endpoint, startedAt }), ...rejectQueued(state, 'closed')]
 }
 
 interface Closing {
   readonly nextState: 'draining' | 'gone'
   /** How the node learned that the server leaves. */
-  readonly source: 'announcement' | 'withdrawal'
+  readonly source: 'announcement' | 'registry' | 'withdrawal'
 }
 
 function closeServer (state: MeshState, server: LocalServer, { nextState, source }: Closing): MeshEffect[] {
@@ -114,6 +152,7 @@
   return [
     { slice: 'log', type: 'line', level: 'info', message: 'backend server leaves', fields },
     { slice: 'timer', type: 'clear', id: toId('admission/queue') },
+    ...recordDeparture(state, { endpoint, startedAt }),
     ...rejectQueued(state, 'closed')
   ]
 }
--- a/packages/mesh/src/admission/reduceAdmission.ts
+++ b/packages/mesh/src/admission/reduceAdmission.ts
@@ -6,6 +6,7 @@
 import { BODY_TIMEOUT, DETACHED_TIMEOUT } from './admissionTimings'
 import type { AdmissionEvent, WorkRecalled } from './AdmissionEvent'
 import { handleAnnouncement, handleWithdrawal } from './handleAnnouncement'
+import { confirmDeparture, handleUnrecordedDeparture, retryDeparture } from './recordDeparture'
 import { reserveSlot } from './reserveSlot'
 import { endWork, observeEvidence } from './endWork'
 import type { ReservationId } from './ReservationId'
@@ -23,6 +24,9 @@
   switch (event.type) {
     case 'serverAnnounced': return handleAnnouncement(state, event)
     case 'serverWithdrawn': return handleWithdrawal(state, event)
+    case 'departureRecorded': return confirmDeparture(state, event)
+    case 'departureNotRecorded': return handleUnrecordedDeparture(state, event)
+    case 'departureDue': return retryDeparture(state)
     case 'slotAsked': return reserveSlot(state, event)
     case 'slotReleased': return releaseSlot(state, event.reservation)
     case 'grantExpired': return voidReservation(state, event.reservation)
--- a/packages/mesh/src/directory/DirectoryEffect.ts
+++ b/packages/mesh/src/directory/DirectoryEffect.ts
@@ -1,4 +1,5 @@
 import type { NodeId } from '@lavenderturn/types'
+import type { Departure } from '../admission/Departure'
 import type { MemberRecord } from './Member'
 
 /** Writes this node's record to the registry, then reads the records of all nodes. @public */
@@ -17,5 +18,12 @@
   readonly boot: string
 }
 
+/** Records a departure of this node's backend server, so that later processes of this node know it. @public */
+export interface RecordDeparture {
+  readonly slice: 'directory'
+  readonly type: 'recordDeparture'
+  readonly departure: Departure
+}
+
 /** @public */
-export type DirectoryEffect = DropRecord | SyncRegistry
+export type DirectoryEffect = DropRecord | RecordDeparture | SyncRegistry
--- a/packages/mesh/src/directory/DirectoryEvent.ts
+++ b/packages/mesh/src/directory/DirectoryEvent.ts
@@ -1,4 +1,5 @@
 import type { Address } from '@lavenderturn/types'
+import type { Departure } from '../admission/Departure'
 import type { EventBase } from '../MeshEvent'
 import type { HeartbeatMessage, HelloMessage } from '../messages/PeerMessage'
 import type { MemberRecord } from './Member'
@@ -14,6 +15,8 @@
   readonly slice: 'directory'
   readonly type: 'registryRead'
   readonly records: readonly MemberRecord[]
+  /** Departure that an earlier process of this node has recorded. */
+  readonly departure?: Departure
 }
 
 /** A heartbeat of another node was received. @public */
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -1,5 +1,6 @@
 import { millis, toId } from '@lavenderturn/types'
 import { REMOTE_TRIAL_OVERDUE } from '../admission/admissionTimings'
+import { restoreDeparture } from '../admission/handleAnnouncement'
 import { scheduleConfirmationCheck } from '../configuration/checkConfirmation'
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
@@ -47,12 +48,12 @@
   return { slice: 'timer', type: 'set', id: toId('directory/beat'), delay: HEARTBEAT_INTERVAL, event }
 }
 
-function readRegistry (state: MeshState, { records }: RegistryRead): MeshEffect[] {
+function readRegistry (state: MeshState, { records, departure }: RegistryRead): MeshEffect[] {
   const { directory } = state
   const isFirstRead = !directory.registered
   directory.registered = true
   directory.registryReadAt = state.now
-  const effects: MeshEffect[] = []
+  const effects: MeshEffect[] = departure === undefined ? [] : restoreDeparture(state, departure)
   const message = composeHello(state, true)
   for (const record of records) {
     // Another node may have read the registry before this node's record was written. The hello introduces this node.
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,5 +1,8 @@
 export type { AdmissionEffect, Dispatch } from './admission/AdmissionEffect'
 export type { AdmissionEvent, Announcement, WorkOutcome } from './admission/AdmissionEvent'
+export type { AnnouncementEffect } from './admission/AnnouncementEffect'
+export type { AnnouncementId } from './admission/AnnouncementId'
+export type { Departure } from './admission/Departure'
 export { ErrorLikelihoodDetector } from './admission/ErrorLikelihoodDetector'
 export {
   GrayFailureDetector, type GrayFailureState, type RequestEvidence
--- a/standins/store/src/reduceStore.ts
+++ b/standins/store/src/reduceStore.ts
@@ -58,7 +58,10 @@
 
 function transact (state: StoreState, event: Extract<StoreEvent, { readonly type: 'transaction' }>): StoreEffect[] {
   const failed = event.expect.some((row) => (state.rows.get(toRowKey(row))?.ver ?? 0) !== row.ver)
-  if (failed) return [answer(event.callId, 412, { rows: [], ver: state.ver })]
+  if (failed) {
+    const rows = event.expect.flatMap((row) => state.rows.get(toRowKey(row)) ?? [])
+    return [answer(event.callId, 412, { rows, ver: state.ver })]
+  }
   state.ver += 1
   for (const { table, key, value } of event.puts) applyChange(state, { table, key, value, ver: state.ver })
   for (const { table, key } of event.deletes) applyChange(state, { table, key, ver: state.ver })
