Let the reducer decide whether a request is sent to its server once more

What callers saw: a request could reach a backend server long after its departure was acknowledged (DRAIN), and with more time than its caller had left.

Cause: when a kept connection broke without a response, BackendExchange sent the request again by itself, without a look at the state of the server, the limit of a cold one, or the time that had passed. The first send was not remembered as a run that may have crashed the server either.

Change: the exchange ends with the reason staleConnection, and the reducer repeats the work if the server accepts work and is not cold, with the time that is left. If the repeat is declined or does not connect, the outcome is unknown, since the first send may have run.

--- a/packages/mesh-runtime/src/admission/AdmissionHandler.ts
+++ b/packages/mesh-runtime/src/admission/AdmissionHandler.ts
@@ -119,7 +119,7 @@
         attempt.replyTarget?.send({ result: { kind: 'rejected', refusal: effect.refusal } })
         break
       case 'deliver':
-        if (attempt.reply !== undefined) attempt.replyTarget?.send(attempt.reply)
+        this.deliver(attempt, effect.mayHaveRun)
         break
       case 'forget':
         this.attempts.delete(effect.reservation)
@@ -131,8 +131,18 @@
     this.agent.destroy()
   }
 
+  private deliver (attempt: Attempt, mayHaveRun: boolean): void {
+    const { reply } = attempt
+    if (reply === undefined) return
+    const { kind } = reply.result
+    if (mayHaveRun && (kind === 'declined' || kind === 'unreachable')) attempt.reply = { result: { kind: 'broken' } }
+    attempt.replyTarget?.send(attempt.reply!)
+  }
+
   private async dispatch (attempt: Attempt, effect: Dispatch): Promise<void> {
     const { request } = attempt
+    // Present if the request is sent a second time.
+    attempt.reply = undefined
     const { head, body, callerRequestId, callerService, team } = request
     const contextHeaders = this.protocol.composeBackendHeaders({
       endpoint: effect.endpoint, callerService, team, timeout: effect.timeout
--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -58,7 +58,7 @@
     const deadlineTimer = setTimeout(() => { this.abort('timeout') }, this.options.timeoutMs)
     this.timers.push(deadlineTimer)
     try {
-      return await this.runOnce(this.options.agent)
+      return await this.runOnce()
     } finally {
       for (const timer of this.timers) clearTimeout(timer)
     }
@@ -74,9 +74,9 @@
     this.request?.destroy()
   }
 
-  private async runOnce (agent: ExchangeAgent | undefined): Promise<BackendResult> {
+  private async runOnce (): Promise<BackendResult> {
     try {
-      const response = await this.send(agent)
+      const response = await this.send()
       const status = response.statusCode ?? 0
       const headers = parseRawHeaders(response.rawHeaders)
       const responseClass = this.options.protocol.classifyResponse({ status, headers }, this.options.callerRequestId)
@@ -95,7 +95,7 @@
       return { outcome: { kind: 'answered', failed: responseClass === 'failed', status }, answer }
     } catch {
       // The outcome depends on how far the exchange had progressed, not on the error.
-      return await this.handleFailure(agent)
+      return this.describeFailure()
     }
   }
 
@@ -109,7 +109,7 @@
     }
   }
 
-  private async handleFailure (agent: ExchangeAgent | undefined): Promise<BackendResult> {
+  private describeFailure (): BackendResult {
     const { answered, request } = this
     // The client did not accept the headers, which says nothing about the server.
     if (request === undefined) return { outcome: { kind: 'aborted' } }
@@ -119,17 +119,12 @@
     if (!this.connected) return { outcome: { kind: 'unreachable' } }
     if (this.flooded) return { outcome: { kind: 'broken', reason: 'foreign' } }
     if (answered) return { outcome: { kind: 'broken', reason: 'truncated' } }
-    // The server had closed the idle connection. Only repeatable requests reuse connections, so a retry is safe.
-    if (request.reusedSocket && agent !== undefined) return await this.runOnce(undefined)
-    return { outcome: { kind: 'broken', reason: 'reset' } }
+    return { outcome: { kind: 'broken', reason: request.reusedSocket ? 'staleConnection' : 'reset' } }
   }
 
-  private async send (agent: ExchangeAgent | undefined): Promise<IncomingMessage> {
-    const { address, method, target, headers, body } = this.options
+  private async send (): Promise<IncomingMessage> {
+    const { agent, address, method, target, headers, body } = this.options
     agent?.closeExpiredConnections()
-    this.connected = false
-    this.answered = false
-    this.socketFailed = false
     return await new Promise((resolve, reject) => {
       const request = startRequest({
         ...splitAddress(address),
--- a/packages/mesh/src/admission/AdmissionEffect.ts
+++ b/packages/mesh/src/admission/AdmissionEffect.ts
@@ -37,6 +37,8 @@
   readonly slice: 'admission'
   readonly type: 'deliver'
   readonly reservation: ReservationId
+  /** Whether an earlier send may have run the request, whatever the outcome of the last one. */
+  readonly mayHaveRun: boolean
 }
 
 /** Discards the stored answer of a reservation. @public */
--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -108,6 +108,14 @@
   readonly reservation: ReservationId
 }
 
+/**
+ * Why a request that was sent got no usable answer. `staleConnection`: a kept connection broke without a response, as
+ * it does when the server had closed it.
+ *
+ * @public
+ */
+export type BrokenReason = 'reset' | 'staleConnection' | 'truncated' | 'foreign' | 'timeout'
+
 /** How an exchange with the backend server ended. @public */
 export type WorkOutcome =
   /** A complete answer was received. `failed`: the answer is an error. `status`: its HTTP status, for logs. */
@@ -117,7 +125,7 @@
   /** The connection failed and nothing was sent. */
   | { readonly kind: 'unreachable' }
   /** The request was sent, but no usable answer was received. */
-  | { readonly kind: 'broken', readonly reason: 'reset' | 'truncated' | 'foreign' | 'timeout' }
+  | { readonly kind: 'broken', readonly reason: BrokenReason }
   /** This node aborted the exchange. */
   | { readonly kind: 'aborted' }
 
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -49,6 +49,10 @@
   readonly route: RouteId
   readonly fingerprint: Fingerprint
   readonly startedAt: Millis
+  /** When the request's time is over. */
+  readonly deadline: Millis
+  /** Whether the request was sent to the server a second time, because its kept connection broke. */
+  isRepeated: boolean
 }
 
 /** A run whose connection was reset, possibly by a crash of the backend server. @public */
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -9,6 +9,7 @@
 import { findBaselineErrorRate } from './findBaselineErrorRate'
 import type { RequestEvidence } from './GrayFailureDetector'
 import { rejectQueued } from './rejectQueued'
+import { canRepeatWork, repeatWork } from './repeatWork'
 import { reportCrash } from './reportCrash'
 import { grantQueued } from './grantQueued'
 import { endSuspicion, startSuspicion } from './suspicion'
@@ -35,6 +36,8 @@
   const reservation = admission.reservations.get(id)
   if (reservation?.work === undefined || reservation.phase !== 'running') return []
   const { work } = reservation
+  recordBrokenRun(state, work, outcome)
+  if (canRepeatWork(state, reservation, outcome)) return repeatWork(state, reservation)
   recordServiceTime(state, work, outcome)
   const effects: MeshEffect[] = [
     { slice: 'timer', type: 'clear', id: toId(`overdue/${id}`) },
@@ -112,6 +115,14 @@
   }
 }
 
+/** Remembers a run whose connection broke: the request may have crashed the server. */
+function recordBrokenRun ({ admission, now }: MeshState, { fingerprint }: Work, outcome: WorkOutcome): void {
+  if (outcome.kind !== 'broken' || (outcome.reason !== 'reset' && outcome.reason !== 'staleConnection')) return
+  admission.lastDisruptionAt = now
+  admission.brokenRuns.push({ fingerprint, at: now })
+  if (admission.brokenRuns.length > MAX_BROKEN_RUNS) admission.brokenRuns.shift()
+}
+
 function recordServiceTime ({ admission, now }: MeshState, { route, startedAt }: Work, outcome: WorkOutcome): void {
   if (outcome.kind !== 'answered' || outcome.failed) return
   const serviceMs = now - startedAt
@@ -164,12 +175,8 @@
 }
 
 function retainResult (state: MeshState, reservation: Reservation, outcome: WorkOutcome): MeshEffect[] {
-  const { admission, now } = state
+  const { admission } = state
   const { id, work } = reservation
-  if (outcome.kind === 'broken' && outcome.reason === 'reset') {
-    admission.brokenRuns.push({ fingerprint: work!.fingerprint, at: now })
-    if (admission.brokenRuns.length > MAX_BROKEN_RUNS) admission.brokenRuns.shift()
-  }
   if (outcome.kind === 'answered') state.quarantine.marks.delete(work!.fingerprint)
   if (outcome.kind === 'aborted') {
     admission.reservations.delete(id)
@@ -177,7 +184,7 @@
   }
   reservation.phase = 'done'
   return [
-    { slice: 'admission', type: 'deliver', reservation: id },
+    { slice: 'admission', type: 'deliver', reservation: id, mayHaveRun: work!.isRepeated },
     {
       slice: 'timer',
       type: 'set',
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -1,4 +1,4 @@
-import { millis, toId } from '@lavenderturn/types'
+import { addMillis, millis, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { SlotRefusal } from '../messages/PeerMessage'
@@ -33,7 +33,14 @@
   }
   const server = admission.server!
   reservation.phase = 'running'
-  reservation.work = { callerRequestId: event.callerRequestId, route, fingerprint, startedAt: now }
+  reservation.work = {
+    callerRequestId: event.callerRequestId,
+    route,
+    fingerprint,
+    startedAt: now,
+    deadline: addMillis(now, timeout),
+    isRepeated: false
+  }
   recordDispatch(state)
   const usualMs = findServiceTime(state, route) ?? DEFAULT_SERVICE_MS
   return [
