Close a backend server whose responses say that it leaves

Cause: the node believed announcements only, and those may be late or lost.

Change: the protocol of a deployment reads what a server says about itself in a response that belongs to the request, and the reducer closes the server as for an announcement, and records its departure.

--- a/packages/mesh-runtime/src/admission/AdmissionHandler.ts
+++ b/packages/mesh-runtime/src/admission/AdmissionHandler.ts
@@ -159,9 +159,9 @@
       budget: this.budget,
       timeoutMs: effect.timeout + DEADLINE_MARGIN_MS
     })
-    const { outcome, answer } = await attempt.exchange.run()
+    const { outcome, notice, answer } = await attempt.exchange.run()
     attempt.reply = { result: toAttemptResult(outcome), answer }
-    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', reservation: effect.reservation, outcome })
+    this.runtime.dispatch({ slice: 'admission', type: 'workEnded', reservation: effect.reservation, outcome, notice })
   }
 }
 
--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -1,4 +1,4 @@
-import type { WorkOutcome } from '@lavenderturn/mesh'
+import type { ServerNotice, WorkOutcome } from '@lavenderturn/mesh'
 import type { Address } from '@lavenderturn/types'
 import { type ExchangeAgent, hasForwardableHeaders, limitInterimResponses, splitAddress } from '@lavenderturn/runtime'
 import { type ClientRequest, type IncomingMessage, request as startRequest } from 'node:http'
@@ -38,6 +38,8 @@
 /** Outcome of an exchange, with the response if it is usable. @internal */
 export interface BackendResult {
   readonly outcome: WorkOutcome
+  /** Present if the response is the server's own response to the request. */
+  readonly notice?: ServerNotice
   readonly answer?: BufferedResponse
 }
 
@@ -88,11 +90,11 @@
       // Node reports a normal end for a response without a length even if its connection is reset. The error event of
       // the request comes first.
       if (this.socketFailed) throw new IncompleteBodyError('connection reset before the body was complete')
-      if (responseClass === 'declined' || responseClass === 'misdirected') {
-        return { outcome: { kind: 'declined', misdirected: responseClass === 'misdirected' } }
-      }
+      if (responseClass === 'misdirected') return { outcome: { kind: 'declined', misdirected: true } }
+      const notice = this.options.protocol.readNotice(headers)
+      if (responseClass === 'declined') return { outcome: { kind: 'declined', misdirected: false }, notice }
       const answer = { status, headers: removeConnectionHeaders(headers), body }
-      return { outcome: { kind: 'answered', failed: responseClass === 'failed', status }, answer }
+      return { outcome: { kind: 'answered', failed: responseClass === 'failed', status }, notice, answer }
     } catch {
       // The outcome depends on how far the exchange had progressed, not on the error.
       return this.describeFailure()
--- a/packages/mesh-runtime/src/protocol/RequestProtocol.ts
+++ b/packages/mesh-runtime/src/protocol/RequestProtocol.ts
@@ -1,3 +1,4 @@
+import type { ServerNotice } from '@lavenderturn/mesh'
 import type { EndpointId, Millis, ResultCodeName, ServiceId, TeamId } from '@lavenderturn/types'
 import type { BufferedResponse, HeaderList, RequestHead } from './RequestHead'
 
@@ -63,6 +64,12 @@
    */
   abstract classifyResponse (head: Pick<BufferedResponse, 'status' | 'headers'>, requestId: string): ResponseClass
 
+  /**
+   * @param headers - headers of a response of the backend server to the request
+   * @returns what the server says about itself
+   */
+  abstract readNotice (headers: HeaderList): ServerNotice
+
   /**
    * @param result - why the request is refused
    * @param options - the caller's id of the request, when to retry, and a detail for the body
--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -129,11 +129,19 @@
   /** This node aborted the exchange. */
   | { readonly kind: 'aborted' }
 
+/** What a backend server says about itself in a response. @public */
+export interface ServerNotice {
+  /** Whether it is shutting down. */
+  readonly leaving: boolean
+}
+
 /** @public */
 export interface WorkEnded extends AdmissionEventBase {
   readonly type: 'workEnded'
   readonly reservation: ReservationId
   readonly outcome: WorkOutcome
+  /** Absent without a response of the server. */
+  readonly notice?: ServerNotice
 }
 
 /** The gateway cancelled the work. @public */
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -48,6 +48,8 @@
   readonly callerRequestId: string
   readonly route: RouteId
   readonly fingerprint: Fingerprint
+  /** The server that runs it, as it was when the request was sent. */
+  readonly server: LocalServer
   readonly startedAt: Millis
   /** When the request's time is over. */
   readonly deadline: Millis
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -4,8 +4,9 @@
 import {
   CALL_FAILURE_WINDOW, FAILED_TRIAL_BACKOFF, MAX_TRIAL_BACKOFF, MIN_TRIAL_INTERVAL, RESULT_RETENTION
 } from './admissionTimings'
-import type { WorkEnded, WorkOutcome } from './AdmissionEvent'
+import type { ServerNotice, WorkEnded, WorkOutcome } from './AdmissionEvent'
 import type { LocalServer, Reservation, Work } from './AdmissionState'
+import { closeServer } from './closeServer'
 import { findBaselineErrorRate } from './findBaselineErrorRate'
 import type { RequestEvidence } from './GrayFailureDetector'
 import { rejectQueued } from './rejectQueued'
@@ -31,7 +32,7 @@
  * @returns effects
  * @internal
  */
-export function endWork (state: MeshState, { reservation: id, outcome }: WorkEnded): MeshEffect[] {
+export function endWork (state: MeshState, { reservation: id, outcome, notice }: WorkEnded): MeshEffect[] {
   const { admission } = state
   const reservation = admission.reservations.get(id)
   if (reservation?.work === undefined || reservation.phase !== 'running') return []
@@ -43,6 +44,7 @@
     { slice: 'timer', type: 'clear', id: toId(`overdue/${id}`) },
     logWorkEnd(state, reservation, outcome)
   ]
+  if (notice !== undefined) effects.push(...applyNotice(state, work, notice))
   effects.push(...applyOutcome(state, outcome))
   effects.push(...retainResult(state, reservation, outcome))
   return effects.concat(grantQueued(state))
@@ -135,6 +137,12 @@
   return mean === 0 ? sample : mean + (sample - mean) * SERVICE_TIME_WEIGHT
 }
 
+/** Applies what the server said about itself, unless another incarnation has announced itself since. */
+function applyNotice (state: MeshState, { server }: Work, { leaving }: ServerNotice): MeshEffect[] {
+  if (server !== state.admission.server || server.state !== 'ready' || !leaving) return []
+  return closeServer(state, server, { nextState: 'draining', source: 'response' })
+}
+
 /** Updates the state of the server after an exchange. */
 function applyOutcome (state: MeshState, outcome: WorkOutcome): MeshEffect[] {
   const server = state.admission.server!
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -1,9 +1,9 @@
-import { addMillis, toId } from '@lavenderturn/types'
+import { addMillis } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { Announcement, ServerAnnounced, ServerWithdrawn } from './AdmissionEvent'
 import type { LocalServer } from './AdmissionState'
-import { countReservations } from './countReservations'
+import { closeServer } from './closeServer'
 import { type Departure, hasDeparted } from './Departure'
 import { createGrayFailureState } from './GrayFailureDetector'
 import { acknowledgeDeparture, recordDeparture } from './recordDeparture'
@@ -137,22 +137,3 @@
   if (announcement.state === 'ready') return effects.concat(grantQueued(state))
   return [...effects, ...recordDeparture(state, { endpoint, startedAt }), ...rejectQueued(state, 'closed')]
 }
-
-interface Closing {
-  readonly nextState: 'draining' | 'gone'
-  /** How the node learned that the server leaves. */
-  readonly source: 'announcement' | 'registry' | 'withdrawal'
-}
-
-function closeServer (state: MeshState, server: LocalServer, { nextState, source }: Closing): MeshEffect[] {
-  server.state = nextState
-  const { endpoint, startedAt } = server
-  const running = countReservations(state.admission, 'running')
-  const fields = { endpoint, startedAt, state: nextState, source, running }
-  return [
-    { slice: 'log', type: 'line', level: 'info', message: 'backend server leaves', fields },
-    { slice: 'timer', type: 'clear', id: toId('admission/queue') },
-    ...recordDeparture(state, { endpoint, startedAt }),
-    ...rejectQueued(state, 'closed')
-  ]
-}
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -37,6 +37,7 @@
     callerRequestId: event.callerRequestId,
     route,
     fingerprint,
+    server,
     startedAt: now,
     deadline: addMillis(now, timeout),
     isRepeated: false
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,5 +1,5 @@
 export type { AdmissionEffect, Dispatch } from './admission/AdmissionEffect'
-export type { AdmissionEvent, Announcement, WorkOutcome } from './admission/AdmissionEvent'
+export type { AdmissionEvent, Announcement, ServerNotice, WorkOutcome } from './admission/AdmissionEvent'
 export type { AnnouncementEffect } from './admission/AnnouncementEffect'
 export type { AnnouncementId } from './admission/AnnouncementId'
 export type { Departure } from './admission/Departure'
