--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -133,6 +133,8 @@
 export interface ServerNotice {
   /** Whether it is shutting down. */
   readonly leaving: boolean
+  /** Requests per second that it takes from all nodes together; absent if it names no limit. */
+  readonly requestLimit?: number
 }
 
 /** @public */
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -21,6 +21,8 @@
   coldUntil: Millis
   /** Whether connections may be attempted. A refused connection clears this until the next announcement. */
   reachable: boolean
+  /** Requests per second that it takes, as its latest response said; absent without a limit. */
+  requestLimit?: number
 }
 
 /** @public */
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -138,9 +138,19 @@
 }
 
 /** Applies what the server said about itself, unless another incarnation has announced itself since. */
-function applyNotice (state: MeshState, { server }: Work, { leaving }: ServerNotice): MeshEffect[] {
-  if (server !== state.admission.server || server.state !== 'ready' || !leaving) return []
-  return closeServer(state, server, { nextState: 'draining', source: 'response' })
+function applyNotice (state: MeshState, { server }: Work, { leaving, requestLimit }: ServerNotice): MeshEffect[] {
+  if (server !== state.admission.server) return []
+  const effects = applyRequestLimit(state, server, requestLimit)
+  if (server.state !== 'ready' || !leaving) return effects
+  return effects.concat(closeServer(state, server, { nextState: 'draining', source: 'response' }))
+}
+
+function applyRequestLimit ({ admission }: MeshState, server: LocalServer, limit: number | undefined): MeshEffect[] {
+  const { requestLimit: previous, endpoint } = server
+  if (limit === previous) return []
+  server.requestLimit = limit
+  const fields = { endpoint, limit, previous, dispatchedInLastSecond: admission.dispatchTimes.length }
+  return [{ slice: 'log', type: 'line', level: 'info', message: 'backend server limits its requests', fields }]
 }
 
 /** Updates the state of the server after an exchange. */
