Keep to the limits that backend servers name in their responses

Cause: no decision saw the header Server-Limit.

Change: the admission beside the server, the only way to it, spaces its requests by the limit; grants, trials and repeats count. Gateways are told when the next request is due. A process that finds an older server runs two requests at a time until the first response, since an earlier process may have learned of a limit.

--- a/packages/mesh-runtime/src/peers/decodeHeartbeat.ts
+++ b/packages/mesh-runtime/src/peers/decodeHeartbeat.ts
@@ -21,11 +21,12 @@
 
 function decodeLoadSummary (values: unknown): LoadSummary | undefined {
   if (!Array.isArray(values)) return undefined
-  const [open, slots, used, queued, suspect, errorRate, serviceMs, dueMs = 0] = values as readonly unknown[]
+  const [open, slots, used, queued, suspect, ...times] = values as readonly unknown[]
+  const [errorRate, serviceMs, dueMs = 0, limitDelayMs = 0] = times
   if (typeof open !== 'boolean' || typeof suspect !== 'boolean' || typeof dueMs !== 'number') return undefined
   if (!isCount(slots) || !isCount(used) || !isCount(queued)) return undefined
-  if (!isCount(errorRate) || !isCount(serviceMs)) return undefined
-  return { open, slots, used, queued, suspect, errorRate, serviceMs, dueMs }
+  if (!isCount(errorRate) || !isCount(serviceMs) || !isCount(limitDelayMs)) return undefined
+  return { open, slots, used, queued, suspect, errorRate, serviceMs, dueMs, limitDelayMs }
 }
 
 function isId (value: unknown): value is string {
--- a/packages/mesh-runtime/src/peers/peerCodec.test.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -7,7 +7,7 @@
 import { decodePeerMessage, encodePeerMessage } from './peerCodec'
 import { peerMessageSchema } from './peerMessageSchema'
 
-const load = makeLoadSummary({ suspect: true, errorRate: 0.25 })
+const load = makeLoadSummary({ suspect: true, errorRate: 0.25, limitDelayMs: 600 })
 const reservation = toId<never>('boot.1')
 
 const messages: readonly PeerMessage[] = [
@@ -52,17 +52,17 @@
   })
 
   // Guards against dropping the messages of nodes that still run the previous version during an upgrade.
-  it('may come without the time of the next request', () => {
+  it('may come without the time of the next request and the delay by a limit', () => {
     const data = JSON.stringify(['slot', 'boot.1', 'granted', null, [true, 2, 0, 0, false, 0, 100]])
-    expect(decodePeerMessage(Buffer.from(data))).toMatchObject({ load: { serviceMs: 100, dueMs: 0 } })
+    expect(decodePeerMessage(Buffer.from(data))).toMatchObject({ load: { serviceMs: 100, dueMs: 0, limitDelayMs: 0 } })
   })
 
   // Guards against a heartbeat that the decoder without the schema takes or rejects unlike the schema.
   it('of kind beat are decoded as by the schema', () => {
     const names = ['node', 'boot', 'load', 'revision', 'leaving', 'hearsReceiver'] as const
-    const loadNames = ['open', 'slots', 'used', 'queued', 'suspect', 'errorRate', 'serviceMs', 'dueMs'] as const
+    const loadNames = ['open', 'slots', 'used', 'queued', 'suspect', 'errorRate', 'serviceMs', 'dueMs', 'limitDelayMs'] as const
     const beat = JSON.parse(encodePeerMessage(messages.find(({ kind }) => kind === 'beat')!)) as unknown[]
-    const change = fc.tuple(fc.boolean(), fc.nat(8), fc.oneof(fc.jsonValue(), fc.integer(), fc.boolean()))
+    const change = fc.tuple(fc.boolean(), fc.nat(9), fc.oneof(fc.jsonValue(), fc.integer(), fc.boolean()))
     fc.assert(fc.property(fc.array(change, { maxLength: 3 }), (changes) => {
       const values = structuredClone(beat)
       for (const [inLoad, index, value] of changes) {
--- a/packages/mesh-runtime/src/peers/peerCodec.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.ts
@@ -27,7 +27,7 @@
 }
 
 const LOAD_FIELDS: ReadonlyArray<keyof LoadSummary> = [
-  'open', 'slots', 'used', 'queued', 'suspect', 'errorRate', 'serviceMs', 'dueMs'
+  'open', 'slots', 'used', 'queued', 'suspect', 'errorRate', 'serviceMs', 'dueMs', 'limitDelayMs'
 ]
 
 /**
@@ -38,10 +38,16 @@
 export function encodePeerMessage (message: PeerMessage): string {
   const values = message as unknown as Readonly<Record<string, unknown>>
   return JSON.stringify([message.kind, ...FIELDS[message.kind].map((name) => {
-    return name === 'load' ? LOAD_FIELDS.map((field) => (values.load as LoadSummary)[field]) : values[name]
+    return name === 'load' ? encodeLoad(values.load as LoadSummary) : values[name]
   })])
 }
 
+/** Omits the delay of servers without a limit, which are nearly all. */
+function encodeLoad (load: LoadSummary): unknown[] {
+  const fields = load.limitDelayMs === 0 ? LOAD_FIELDS.slice(0, -1) : LOAD_FIELDS
+  return fields.map((field) => load[field])
+}
+
 /**
  * @param data - the content of a datagram
  * @returns the message, or undefined if the datagram is malformed
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -12,7 +12,8 @@
   errorRate: nonNegativeNumber,
   serviceMs: nonNegativeNumber,
   // Nodes of the previous version do not send it.
-  dueMs: z._default(z.number(), 0)
+  dueMs: z._default(z.number(), 0),
+  limitDelayMs: z._default(nonNegativeNumber, 0)
 })
 
 const refusalSchema = z.enum(['closed', 'evacuated', 'suspect', 'wrongService', 'expired', 'full'])
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -23,6 +23,13 @@
   reachable: boolean
   /** Requests per second that it takes, as its latest response said; absent without a limit. */
   requestLimit?: number
+  /** When the next request is due by that limit. */
+  nextRequestAt: Millis
+  /**
+   * Whether this process knows if the server has a limit: it has received a response, or no earlier process can have
+   * received one.
+   */
+  isLimitKnown: boolean
 }
 
 /** @public */
--- a/packages/mesh/src/admission/admission.test.ts
+++ b/packages/mesh/src/admission/admission.test.ts
@@ -117,6 +117,20 @@
     expect(verdicts(end(state, 'a', SUCCESS))).toEqual(['c granted'])
   })
 
+  // Guards against a restarted process that fills a server whose limit only the earlier process had learned.
+  it('grants two slots until the first response of a server that is older than the process', () => {
+    const state = makeMeshState({ at: 10_000 })
+    announce(state, { slots: 4 }, 10_000)
+    const asked = ['a', 'b', 'c'].flatMap((id) => verdicts(ask(state, id, {}, 10_000)))
+    expect(asked).toEqual(['a granted', 'b granted', 'c queued'])
+    start(state, 'a', 10_010)
+    const notice = { leaving: false, requestLimit: 1 }
+    const ended = atTime({
+      slice: 'admission', type: 'workEnded', reservation: toId('a'), outcome: SUCCESS, notice
+    }, 10_100)
+    expect(verdicts(reduceMesh(state, ended))).toEqual([])
+  })
+
   it('frees the slot of an unused grant and refuses its request when it arrives late', () => {
     const state = makeMeshState()
     announce(state, { slots: 1 })
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -138,17 +138,24 @@
 }
 
 /** Applies what the server said about itself, unless another incarnation has announced itself since. */
-function applyNotice (state: MeshState, { server }: Work, { leaving, requestLimit }: ServerNotice): MeshEffect[] {
+function applyNotice (state: MeshState, { server }: Work, notice: ServerNotice): MeshEffect[] {
+  const { leaving, requestLimit } = notice
   if (server !== state.admission.server) return []
+  server.isLimitKnown = true
   const effects = applyRequestLimit(state, server, requestLimit)
   if (server.state !== 'ready' || !leaving) return effects
   return effects.concat(closeServer(state, server, { nextState: 'draining', source: 'response' }))
 }
 
-function applyRequestLimit ({ admission }: MeshState, server: LocalServer, limit: number | undefined): MeshEffect[] {
+function applyRequestLimit (
+  { admission, now }: MeshState,
+  server: LocalServer,
+  limit: number | undefined
+): MeshEffect[] {
   const { requestLimit: previous, endpoint } = server
   if (limit === previous) return []
   server.requestLimit = limit
+  if (previous === undefined) server.nextRequestAt = now
   const fields = { endpoint, limit, previous, dispatchedInLastSecond: admission.dispatchTimes.length }
   return [{ slice: 'log', type: 'line', level: 'info', message: 'backend server limits its requests', fields }]
 }
--- a/packages/mesh/src/admission/findColdStartDelay.ts
+++ b/packages/mesh/src/admission/findColdStartDelay.ts
@@ -2,6 +2,7 @@
 import type { MeshState } from '../MeshState'
 import { COLD_WINDOW } from './admissionTimings'
 import { countReservations } from './countReservations'
+import { recordLimitedRequest } from './findLimitDelay'
 
 /**
  * Requests per second that a cold server gets while the configuration does not tell its rate, because that part of it
@@ -76,8 +77,10 @@
  * @param state - the node's state
  * @internal
  */
-export function recordDispatch ({ admission, now }: MeshState): void {
+export function recordDispatch (state: MeshState): void {
+  const { admission, now } = state
   if (now - admission.lastDispatchAt > MAX_IDLE_PAUSE) admission.busySince = now
   admission.lastDispatchAt = now
   admission.dispatchTimes.push(now)
+  recordLimitedRequest(state)
 }
--- a/packages/mesh/src/admission/grantQueued.ts
+++ b/packages/mesh/src/admission/grantQueued.ts
@@ -1,4 +1,4 @@
-import { millis, toId } from '@lavenderturn/types'
+import { millis, type Millis, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { SlotRefusal } from '../messages/PeerMessage'
@@ -6,11 +6,17 @@
 import type { Reservation } from './AdmissionState'
 import { countReservations } from './countReservations'
 import { findUnavailableReason } from './findUnavailableReason'
-import { findColdStartDelay } from './findColdStartDelay'
+import { findDispatchDelay } from './findDispatchDelay'
 import { isTrialAllowed } from './isTrialAllowed'
 import { summarizeLoad } from './summarizeLoad'
 import { recordTrial } from './suspicion'
 
+/**
+ * Requests at a time while an earlier process may have learned of a limit that this process does not know. Few enough
+ * for a server with a low limit, whose requests before the restart count as well.
+ */
+const MAX_WORK_WITHOUT_RESPONSE = 2
+
 /**
  * Grants free slots to queued reservations in order of priority.
  *
@@ -22,12 +28,13 @@
   const { admission } = state
   const effects: MeshEffect[] = []
   if (findUnavailableReason(state) !== undefined) return effects
-  const slots = admission.server!.slots
+  const { slots: allSlots, isLimitKnown } = admission.server!
+  const slots = isLimitKnown ? allSlots : Math.min(allSlots, MAX_WORK_WITHOUT_RESPONSE)
   let used = countReservations(admission, 'granted', 'running')
   while (used < slots) {
     const next = findMostUrgent(state, effects)
     if (next === undefined) break
-    const delay = findColdStartDelay(state)
+    const delay = findDispatchDelay(state)
     if (delay > 0) {
       effects.push(scheduleQueueCheck(delay))
       break
@@ -61,7 +68,7 @@
   }
 }
 
-function scheduleQueueCheck (delay: ReturnType<typeof findColdStartDelay>): MeshEffect {
+function scheduleQueueCheck (delay: Millis): MeshEffect {
   const event = { slice: 'admission', type: 'queueDue' } as const
   return { slice: 'timer', type: 'set', id: toId('admission/queue'), delay, event }
 }
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -1,4 +1,4 @@
-import { addMillis } from '@lavenderturn/types'
+import { addMillis, millis } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { Announcement, ServerAnnounced, ServerWithdrawn } from './AdmissionEvent'
@@ -11,6 +11,9 @@
 import { reportCrash } from './reportCrash'
 import { grantQueued } from './grantQueued'
 
+/** A server that started by this much before the process may have sent responses to an earlier process of the node. */
+const MIN_HEAD_START = millis(2_000)
+
 /**
  * Applies an announcement of this instance's backend server. Announcements of earlier incarnations, those overtaken by
  * later ones and those of servers that have left are ignored.
@@ -127,7 +130,9 @@
     state: announcement.state,
     lastAnnouncedAt: now,
     coldUntil: addMillis(now, coldRemaining),
-    reachable: true
+    reachable: true,
+    nextRequestAt: now,
+    isLimitKnown: startedAt >= state.lifecycle.startedAt - MIN_HEAD_START
   }
   Object.assign(admission.grayFailure, createGrayFailureState())
   admission.suspicion = undefined
--- a/packages/mesh/src/admission/repeatWork.ts
+++ b/packages/mesh/src/admission/repeatWork.ts
@@ -3,12 +3,14 @@
 import type { MeshState } from '../MeshState'
 import type { WorkOutcome } from './AdmissionEvent'
 import type { Reservation } from './AdmissionState'
-import { findColdStartDelay, recordDispatch } from './findColdStartDelay'
+import { recordDispatch } from './findColdStartDelay'
+import { findDispatchDelay } from './findDispatchDelay'
 import { findUnavailableReason } from './findUnavailableReason'
 
 /**
  * Decides whether a request is sent to the backend server once more because its kept connection broke. Such a request
- * reaches the server now, so it needs what any other request needs: a server that accepts work and is not cold.
+ * reaches the server now, so it needs what any other request needs: a server that accepts work, is not cold and has not
+ * reached its limit.
  *
  * @param state - the node's state
  * @param reservation - the reservation of the request
@@ -19,7 +21,7 @@
 export function canRepeatWork (state: MeshState, { work, repeatable }: Reservation, outcome: WorkOutcome): boolean {
   if (outcome.kind !== 'broken' || outcome.reason !== 'staleConnection') return false
   if (work === undefined || work.isRepeated || !repeatable || state.now >= work.deadline) return false
-  return findUnavailableReason(state) === undefined && findColdStartDelay(state) === 0
+  return findUnavailableReason(state) === undefined && findDispatchDelay(state) === 0
 }
 
 /**
--- a/packages/mesh/src/admission/reserveSlot.ts
+++ b/packages/mesh/src/admission/reserveSlot.ts
@@ -5,6 +5,7 @@
 import type { SlotAsked } from './AdmissionEvent'
 import type { Reservation } from './AdmissionState'
 import { isTrialAllowed } from './isTrialAllowed'
+import { findLimitDelay, findRequestInterval } from './findLimitDelay'
 import { findUnavailableReason } from './findUnavailableReason'
 import { refuseReservation, grantQueued } from './grantQueued'
 import { summarizeLoad } from './summarizeLoad'
@@ -13,6 +14,12 @@
 /** Reservations that may be queued for each slot. */
 const MAX_QUEUED_PER_SLOT = 12
 
+/**
+ * Longest wait for a server that has reached its limit. The queue of such a server moves slowly, and a request may wait
+ * in two queues only.
+ */
+const MAX_LIMIT_WAIT = millis(400)
+
 /**
  * Grants, queues or refuses a requested reservation.
  *
@@ -54,7 +61,8 @@
   const isSuspect = policies.grayFailureDetector.isSuspect(admission.grayFailure, now)
   if (isSuspect && !isTrialAllowed(state, message)) return 'suspect'
   const { queued, slots } = summarizeLoad(state)
-  return queued >= slots * MAX_QUEUED_PER_SLOT ? 'full' : undefined
+  if (queued >= slots * MAX_QUEUED_PER_SLOT) return 'full'
+  return findLimitDelay(state) + queued * findRequestInterval(admission.server!) > MAX_LIMIT_WAIT ? 'full' : undefined
 }
 
 function createReservation ({ now }: MeshState, message: AskSlotMessage): Reservation {
--- a/packages/mesh/src/admission/summarizeLoad.ts
+++ b/packages/mesh/src/admission/summarizeLoad.ts
@@ -2,6 +2,7 @@
 import type { LoadSummary } from '../messages/PeerMessage'
 import { countReservations } from './countReservations'
 import { findDueDelay } from './findDueDelay'
+import { findLimitDelay } from './findLimitDelay'
 import { findUnavailableReason } from './findUnavailableReason'
 
 /** Keeps the datagrams of idle servers short. */
@@ -24,6 +25,7 @@
     suspect: policies.grayFailureDetector.isSuspect(admission.grayFailure, now),
     errorRate: Math.round(admission.errorRate * 1_000) / 1_000,
     serviceMs: Math.round(admission.serviceMs),
+    limitDelayMs: Math.round(findLimitDelay(state)),
     dueMs: Math.max(MIN_DUE_MS, Math.round(findDueDelay(state)))
   }
 }
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -5,6 +5,7 @@
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
+import type { LoadSummary } from '../messages/PeerMessage'
 import type { HeartbeatReceived, DirectoryEvent, HelloReceived, RegistryRead } from './DirectoryEvent'
 import { isHeardRecently } from './countMembers'
 import { composeHeartbeat, composeHello, describeRecord } from './describeSelf'
@@ -33,6 +34,7 @@
 }
 
 function startNode (state: MeshState): MeshEffect[] {
+  state.lifecycle.startedAt = state.wallNow
   registerMember(state, describeRecord(state))
   updateHeartbeatPartners(state)
   return [
@@ -128,6 +130,19 @@
   }
 }
 
+/** Load of a node that has not reported any. */
+const UNKNOWN_LOAD: LoadSummary = {
+  open: true,
+  slots: 1,
+  used: 0,
+  queued: 0,
+  suspect: false,
+  errorRate: 0,
+  serviceMs: 0,
+  dueMs: 0,
+  limitDelayMs: 0
+}
+
 function createMember (state: MeshState, record: MemberRecord): Member {
   const { node, boot, dataCentre, service, peerAddress, forwardAddress } = record
   return {
@@ -148,7 +163,7 @@
     silentUntil: millis(0),
     hearsThisNode: true,
     revision: toId(0),
-    load: { open: true, slots: 1, used: 0, queued: 0, suspect: false, errorRate: 0, serviceMs: 0, dueMs: 0 },
+    load: UNKNOWN_LOAD,
     loadReceivedAt: millis(0),
     avoidUntil: millis(0),
     missed: 0
--- a/packages/mesh/src/gateway/LocalFirstRanking.ts
+++ b/packages/mesh/src/gateway/LocalFirstRanking.ts
@@ -103,6 +103,7 @@
   if (isTrialDue) cost -= TRIAL_BONUS_MS + overdueMs * OVERDUE_BONUS
   else if (load.suspect) cost += request.acceptSuspect ? RELAXED_SUSPECT_COST_MS : SUSPECT_COST_MS
   if (state.now < member.avoidUntil) cost += AVOIDED_PATH_COST_MS
+  cost += findLimitWait(state, member)
   if (!load.open) cost += CLOSED_COST_MS
   if (!isAlive(state, member)) cost += SILENT_COST_MS
   return cost
@@ -117,6 +118,11 @@
   return { ...load, open: true, suspect: false, queued: 0, used: load.slots / 2 }
 }
 
+/** Finds how long a request would have to wait for a server that has reached the limit that it named. */
+function findLimitWait ({ now }: MeshState, { load, loadReceivedAt }: Member): number {
+  return load.limitDelayMs === 0 ? 0 : Math.max(0, load.limitDelayMs - (now - loadReceivedAt))
+}
+
 /** Requests that cannot be retried are offered only if no other request has come in time. */
 function findMinTrialOverdue (state: MeshState, request: GatewayRequest): number {
   if (request.sentTo.size > 0 || request.refusedBy.size >= MAX_REFUSALS_FOR_TRIAL) return Number.POSITIVE_INFINITY
--- a/packages/mesh/src/lifecycle/LifecycleState.ts
+++ b/packages/mesh/src/lifecycle/LifecycleState.ts
@@ -1,7 +1,9 @@
-import type { Millis } from '@lavenderturn/types'
+import { type Millis, millis } from '@lavenderturn/types'
 
 /** @public */
 export interface LifecycleState {
+  /** Time of day at which the process opened its ports. */
+  startedAt: Millis
   /** Whether the process has been asked to stop. */
   stopping: boolean
   stopRequestedAt?: Millis
@@ -14,5 +16,5 @@
  * @internal
  */
 export function createLifecycleState (): LifecycleState {
-  return { stopping: false, ended: false }
+  return { startedAt: millis(0), stopping: false, ended: false }
 }
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -23,6 +23,8 @@
    * that time has passed.
    */
   readonly dueMs: number
+  /** Time in milliseconds until the server takes another request by the limit that it has named; 0 without a limit. */
+  readonly limitDelayMs: number
 }
 
 /** Sent to every node at intervals to show that the sender is running and reachable. @public */
