Refuse late requests of a planned stop, and answer all others before the end

What callers saw: requests that came late in the grace were passed on and cut at its end with no answer, also such that may not be repeated; requests that waited for a slot were cut as well (LOST).

Cause: requests kept their own deadlines while the process ended at its own time with whatever was open. Bodies being received and responses being written did not count as open.

Change: late requests are refused with a time to come back, waiting ones when they could no longer end in time; what still runs at the end gets an unknown outcome. Exchanges count from head to last byte, and the process ends once its servers have closed.

--- a/packages/mesh-runtime/src/createMeshNode.ts
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -95,6 +95,7 @@
   // The reducer starts it if this node is one of those that follow the store.
   const follower = new ConfigurationFollower({ runtime, source, log, active: false })
   const configuration = new ConfigurationHandler({ runtime, source, follower, log })
+  const forwardServer = createForwardServer({ runtime, handler: admission, configuration })
   const handlers = [
     peers,
     admission,
@@ -102,14 +103,14 @@
     announcements,
     configuration,
     new DirectoryHandler({ runtime, node: identity.nodeId, registry: options.registry, log }),
-    new LifecycleHandler({ callerServer, end: options.end }),
+    new LifecycleHandler({ callerServer, forwardServer, end: options.end }),
     new LogHandler(log),
     new TimerHandler(runtime)
   ]
   for (const handler of handlers) runtime.addHandler(handler)
   const servers: ReadonlyArray<readonly [Server, Address]> = [
     [callerServer.server, addresses.callers],
-    [createForwardServer({ runtime, handler: admission, configuration }), addresses.forward ?? identity.forwardAddress],
+    [forwardServer, addresses.forward ?? identity.forwardAddress],
     [announcements.server, addresses.announcements],
     [createReadinessServer({ runtime, path: options.readinessPath }), addresses.readiness],
     [createMetricsServer({ runtime, metrics, log, sink }), addresses.metrics]
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -61,6 +61,8 @@
   private async receive (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = performance.now()
     const { runtime, protocol } = this.options
+    runtime.dispatch({ slice: 'gateway', type: 'exchangeOpened' })
+    res.once('close', () => { runtime.dispatch({ slice: 'gateway', type: 'exchangeClosed' }) })
     const limits = runtime.query(({ configuration }) => configuration.current?.limits) ?? DEFAULT_LIMITS
     this.applyLimits(limits)
     if (this.closing) res.shouldKeepAlive = false
--- a/packages/mesh/src/gateway/GatewayEvent.ts
+++ b/packages/mesh/src/gateway/GatewayEvent.ts
@@ -7,6 +7,16 @@
   readonly slice: 'gateway'
 }
 
+/** The head of a caller's request was received; its exchange stays open until the response is written. @public */
+export interface ExchangeOpened extends GatewayEventBase {
+  readonly type: 'exchangeOpened'
+}
+
+/** A caller's response was written completely, or its connection was closed. @public */
+export interface ExchangeClosed extends GatewayEventBase {
+  readonly type: 'exchangeClosed'
+}
+
 /** A caller's request was received with its complete body. @public */
 export interface RequestArrived extends GatewayEventBase {
   readonly type: 'requestArrived'
@@ -129,6 +139,8 @@
   | AttemptStarted
   | CallerGone
   | DeadlinePassed
+  | ExchangeClosed
+  | ExchangeOpened
   | QuestionsDue
   | RecallDue
   | RequestArrived
--- a/packages/mesh/src/gateway/GatewayState.ts
+++ b/packages/mesh/src/gateway/GatewayState.ts
@@ -66,6 +66,8 @@
 /** @public */
 export interface GatewayState {
   readonly requests: Map<RequestId, GatewayRequest>
+  /** Exchanges with callers whose request is being received or whose response is being written, and all others. */
+  openExchanges: number
   /** Sequence number for reservation and grant ids. */
   nextNumber: number
   /** Further attempts that may currently be sent to each service. */
@@ -79,5 +81,5 @@
  * @internal
  */
 export function createGatewayState (): GatewayState {
-  return { requests: new Map(), nextNumber: 0, retryBudgets: new Map(), routeTimes: new Map() }
+  return { requests: new Map(), openExchanges: 0, nextNumber: 0, retryBudgets: new Map(), routeTimes: new Map() }
 }
--- a/packages/mesh/src/gateway/admitRequest.ts
+++ b/packages/mesh/src/gateway/admitRequest.ts
@@ -1,8 +1,9 @@
-import { addMillis, millis, type ResultCodeName, type ServiceId, toId } from '@lavenderturn/types'
+import { addMillis, type Millis, millis, type ResultCodeName, type ServiceId, toId } from '@lavenderturn/types'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RouteRule, TeamRule } from '../configuration/FleetConfiguration'
 import { findRoute, isRouteUnreadable } from '../configuration/findRoute'
 import { isConfigurationConfirmed } from '../configuration/isConfigurationConfirmed'
+import { isRefusingRequests, RETRY_AFTER_STOP } from '../lifecycle/plannedStop'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import { isQuarantined } from '../quarantine/isQuarantined'
@@ -13,7 +14,7 @@
 import { DEFAULT_RETRY_AFTER } from './refuseRequest'
 
 type AccessDecision =
-  | { readonly kind: 'refused', readonly result: ResultCodeName }
+  | { readonly kind: 'refused', readonly result: ResultCodeName, readonly retryAfter?: Millis }
   | { readonly kind: 'granted', readonly route: RouteRule, readonly team?: TeamRule }
 
 /**
@@ -28,9 +29,9 @@
   const access = checkAccess(state, event)
   if (access.kind === 'refused') {
     const { requestId } = event
-    const { result } = access
+    const { result, retryAfter = DEFAULT_RETRY_AFTER } = access
     return [
-      { slice: 'gateway', type: 'refuse', requestId, result, retryAfter: DEFAULT_RETRY_AFTER },
+      { slice: 'gateway', type: 'refuse', requestId, result, retryAfter },
       { slice: 'log', type: 'line', level: 'info', message: 'request refused', fields: describeRefusal(state, event, result) }
     ]
   }
@@ -50,6 +51,7 @@
 
 function checkAccess (state: MeshState, event: RequestArrived): AccessDecision {
   const { current } = state.configuration
+  if (isRefusingRequests(state)) return { kind: 'refused', result: 'draining', retryAfter: RETRY_AFTER_STOP }
   if (current === undefined) return { kind: 'refused', result: 'unconfirmed' }
   const route = findRoute(current, event.host, event.path)
   if (isRouteUnreadable(current, { host: event.host, path: event.path, route })) {
--- a/packages/mesh/src/gateway/reduceGateway.ts
+++ b/packages/mesh/src/gateway/reduceGateway.ts
@@ -21,6 +21,12 @@
  */
 export function reduceGateway (state: MeshState, event: GatewayEvent): MeshEffect[] {
   switch (event.type) {
+    case 'exchangeOpened':
+      state.gateway.openExchanges += 1
+      return []
+    case 'exchangeClosed':
+      state.gateway.openExchanges -= 1
+      return []
     case 'requestArrived': return admitRequest(state, event)
     case 'slotAnswered': return routeSlotAnswer(state, event)
     case 'tokenAnswered': return routeTokenAnswer(state, event)
--- a/packages/mesh/src/gateway/requestSlot.ts
+++ b/packages/mesh/src/gateway/requestSlot.ts
@@ -5,6 +5,7 @@
 import { recordReply } from '../directory/recordReply'
 import { recordUnanswered } from '../directory/recordUnanswered'
 import type { Member } from '../directory/Member'
+import { findStopTime } from '../lifecycle/plannedStop'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import { releaseSlotRequests } from './endRequest'
@@ -44,7 +45,10 @@
   const total = request.deadline - request.arrivedAt
   const usualMs = findRouteTime(state, request) ?? DEFAULT_ROUTE_TIME_MS
   const latestStart = Math.max(request.deadline - usualMs, request.arrivedAt + total * MAX_WAIT_SHARE)
-  return Math.floor(Math.min(latestStart, request.deadline) - state.now)
+  // A request that starts too late before the end of the process would be cut.
+  const stopTime = findStopTime(state)
+  const latestEnd = stopTime === undefined ? Number.POSITIVE_INFINITY : stopTime - usualMs
+  return Math.floor(Math.min(latestStart, latestEnd, request.deadline) - state.now)
 }
 
 /**
--- /dev/null
+++ b/packages/mesh/src/lifecycle/plannedStop.ts
@@ -0,0 +1,34 @@
+import { addMillis, type Millis, millis } from '@lavenderturn/types'
+import type { MeshState } from '../MeshState'
+
+/** Time that callers need to notice that the node is not ready: two health checks a second apart, and some slack. */
+export const READINESS_PROPAGATION_TIME = millis(2_800)
+
+/** Part of the grace period that is reserved for ending the process. */
+const SHUTDOWN_RESERVE = millis(500)
+
+/** When a request that is refused during a planned stop may come back: the next process is ready about then. */
+export const RETRY_AFTER_STOP = millis(1_000)
+
+/**
+ * Decides whether new requests are refused because the node stops. Callers have noticed by then; a request that is
+ * taken later may not end before the process does.
+ *
+ * @param state - the node's state
+ * @returns whether new requests are refused
+ * @internal
+ */
+export function isRefusingRequests ({ lifecycle: { stopRequestedAt }, now }: MeshState): boolean {
+  return stopRequestedAt !== undefined && now - stopRequestedAt >= READINESS_PROPAGATION_TIME
+}
+
+/**
+ * Finds when the process ends at the latest because of a planned stop.
+ *
+ * @param state - the node's state
+ * @returns the time, or undefined without a planned stop
+ * @internal
+ */
+export function findStopTime ({ bounds, lifecycle: { stopRequestedAt } }: MeshState): Millis | undefined {
+  return stopRequestedAt === undefined ? undefined : addMillis(stopRequestedAt, millis(bounds.grace - SHUTDOWN_RESERVE))
+}
--- a/packages/mesh/src/lifecycle/reduceLifecycle.ts
+++ b/packages/mesh/src/lifecycle/reduceLifecycle.ts
@@ -4,20 +4,16 @@
 import { composeHeartbeat } from '../directory/describeSelf'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
+import { refuseRequest } from '../gateway/refuseRequest'
 import type { LifecycleEvent } from './LifecycleEvent'
-
-/** Time that callers need to notice that the node is not ready: two health checks a second apart, and some slack. */
-const READINESS_PROPAGATION_TIME = millis(2_800)
+import { findStopTime, isRefusingRequests, RETRY_AFTER_STOP } from './plannedStop'
 
 /** Interval between checks whether all requests have been answered. */
 const CHECK_INTERVAL = millis(100)
 
-/** Part of the grace period that is reserved for ending the process. */
-const SHUTDOWN_RESERVE = millis(500)
-
 /**
  * Stops the node gracefully. It reports not ready immediately, accepts requests until callers have noticed, and ends
- * when all requests are answered or the grace period is over.
+ * when all requests are answered. Requests without an answer when the grace period is over are told what is known.
  *
  * @param state - the node's state
  * @param event - a lifecycle event
@@ -42,17 +38,26 @@
       scheduleCheck()
     ]
   }
-  if (lifecycle.ended || lifecycle.stopRequestedAt === undefined) return []
-  const elapsed = now - lifecycle.stopRequestedAt
-  const idle = state.gateway.requests.size === 0 && countReservations(state.admission, 'granted', 'running') === 0
-  if ((idle && elapsed >= READINESS_PROPAGATION_TIME) || elapsed >= state.bounds.grace - SHUTDOWN_RESERVE) {
-    lifecycle.ended = true
-    return [
-      { slice: 'log', type: 'line', level: 'info', message: 'node ends', fields: { idle } },
-      { slice: 'lifecycle', type: 'endProcess' }
-    ]
-  }
-  return [scheduleCheck()]
+  const stopTime = findStopTime(state)
+  if (lifecycle.ended || stopTime === undefined) return []
+  const { openExchanges, requests } = state.gateway
+  const running = countReservations(state.admission, 'granted', 'running')
+  const isIdle = openExchanges === 0 && requests.size === 0 && running === 0
+  if (now < stopTime && !(isIdle && isRefusingRequests(state))) return [scheduleCheck()]
+  lifecycle.ended = true
+  const fields = { idle: isIdle, openExchanges, requests: requests.size, running }
+  return [
+    { slice: 'log', type: 'line', level: 'info', message: 'node ends', fields },
+    ...refuseRemaining(state),
+    { slice: 'lifecycle', type: 'endProcess' }
+  ]
+}
+
+function refuseRemaining (state: MeshState): MeshEffect[] {
+  return [...state.gateway.requests.values()].flatMap((request) => {
+    if (request.currentAttempt !== undefined) request.mayHaveRun = true
+    return refuseRequest(state, request, { result: 'draining', retryAfter: RETRY_AFTER_STOP })
+  })
 }
 
 function notifyMembers (state: MeshState): MeshEffect[] {
