Refuse malformed percent-encodings and addresses of other processes

Cause: text of other processes was decoded and used without a check of its form.

A remaining time that is not a number is refused as well.

--- a/packages/mesh-runtime/src/admission/createForwardServer.ts
+++ b/packages/mesh-runtime/src/admission/createForwardServer.ts
@@ -5,6 +5,7 @@
 import { forwardHeaders } from '../forwardHeaders'
 import type { MeshRuntime } from '../MeshRuntime'
 import { removeConnectionHeaders } from '../protocol/connectionHeaders'
+import { decodePercent } from '../protocol/decodePercent'
 import { parseRawHeaders } from '../protocol/RequestHead'
 import { readBody } from '../readBody'
 import { writeResponse } from '../writeResponse'
@@ -100,25 +101,39 @@
     target.res.destroy()
     return
   }
+  const request = parseForwardedRequest(req, reservation, body)
+  if (request === undefined) {
+    // The reservation expires unused.
+    target.res.writeHead(400, { 'content-length': '0' }).end()
+    return
+  }
   detachOnClose(handler, reservation, target)
-  handler.acceptRequest(parseForwardedRequest(req, reservation, body), target)
+  handler.acceptRequest(request, target)
 }
 
 function detachOnClose (handler: AdmissionHandler, reservation: ReservationId, target: ConnectionReplyTarget): void {
   target.res.once('close', () => { if (!target.res.writableFinished) handler.detachReplyTarget(reservation, target) })
 }
 
-function parseForwardedRequest (req: IncomingMessage, reservation: ReservationId, body: Buffer): ForwardedRequest {
+/** @returns the request, or undefined if a header of the forwarding node is malformed */
+function parseForwardedRequest (
+  req: IncomingMessage,
+  reservation: ReservationId,
+  body: Buffer
+): ForwardedRequest | undefined {
   const getHeader = (name: string): string => String(req.headers[name] ?? '')
-  const team = getHeader(forwardHeaders.team)
+  const team = decodePercent(getHeader(forwardHeaders.team))
+  const callerRequestId = decodePercent(getHeader(forwardHeaders.callerRequest))
+  const timeoutMs = Number(getHeader(forwardHeaders.timeout))
+  if (team === undefined || callerRequestId === undefined || !Number.isFinite(timeoutMs)) return undefined
   return {
     reservation,
     route: toId(getHeader(forwardHeaders.route)),
-    team: team === '' ? undefined : toId(decodeURIComponent(team)),
+    team: team === '' ? undefined : toId(team),
     callerService: toId(getHeader(forwardHeaders.callerService)),
-    callerRequestId: decodeURIComponent(getHeader(forwardHeaders.callerRequest)),
+    callerRequestId,
     fingerprint: toId(getHeader(forwardHeaders.fingerprint)),
-    timeout: millis(Number(getHeader(forwardHeaders.timeout))),
+    timeout: millis(timeoutMs),
     head: {
       method: req.method ?? 'GET',
       target: req.url ?? '/',
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini'
+import { addressSchema } from '../addressSchema'
 
 const nonEmptyId = z.string().check(z.minLength(1), z.maxLength(200))
 const nonNegativeNumber = z.number().check(z.nonnegative())
@@ -35,14 +36,14 @@
     boot: nonEmptyId,
     dataCentre: nonEmptyId,
     service: nonEmptyId,
-    peerAddress: nonEmptyId,
-    forwardAddress: nonEmptyId,
+    peerAddress: addressSchema,
+    forwardAddress: addressSchema,
     wantsReply: z.boolean()
   }),
   z.object({
     kind: z.literal('askSlot'),
     reservation: nonEmptyId,
-    replyTo: nonEmptyId,
+    replyTo: addressSchema,
     service: nonEmptyId,
     priority: z.number(),
     repeatable: z.boolean(),
@@ -60,13 +61,13 @@
   z.object({ kind: z.literal('release'), reservation: nonEmptyId }),
   z.object({ kind: z.literal('cancel'), reservation: nonEmptyId }),
   z.object({ kind: z.literal('started'), reservation: nonEmptyId }),
-  z.object({ kind: z.literal('recall'), reservation: nonEmptyId, replyTo: nonEmptyId }),
+  z.object({ kind: z.literal('recall'), reservation: nonEmptyId, replyTo: addressSchema }),
   z.object({
     kind: z.literal('recalled'), reservation: nonEmptyId, attemptState: z.enum(['notStarted', 'running', 'done', 'unknown'])
   }),
-  z.object({ kind: z.literal('askToken'), grant: nonEmptyId, node: nonEmptyId, replyTo: nonEmptyId, team: nonEmptyId }),
+  z.object({ kind: z.literal('askToken'), grant: nonEmptyId, node: nonEmptyId, replyTo: addressSchema, team: nonEmptyId }),
   z.object({ kind: z.literal('token'), grant: nonEmptyId, granted: z.boolean(), waitMs: nonNegativeNumber }),
-  z.object({ kind: z.literal('askConfirmation'), query: nonEmptyId, replyTo: nonEmptyId }),
+  z.object({ kind: z.literal('askConfirmation'), query: nonEmptyId, replyTo: addressSchema }),
   z.object({
     kind: z.literal('confirmation'),
     query: nonEmptyId,
--- a/packages/runtime/src/admin/admin.test.ts
+++ b/packages/runtime/src/admin/admin.test.ts
@@ -34,7 +34,12 @@
     }, 'draining')
   })
 
-  it.each([['{}'], ['nonsense'], ['{"service":"a","address":"a","slots":1,"bootId":"b","state":"serving"}']])(
+  it.each([
+    ['{}'],
+    ['nonsense'],
+    ['{"service":"a","address":"a:99999","slots":1,"bootId":"b","state":"serving"}'],
+    ['{"service":"a","address":"a","slots":1,"bootId":"b","state":"serving"}']
+  ])(
     'refuses a malformed announcement: %s', async (text) => {
       const { admissionAdmin, admissionNode } = await start()
       const answer = await sendRequest(admissionAdmin, { method: 'POST', path: '/announce', body: Buffer.from(text) })
