--- a/packages/mesh/src/admission/requestLimit.test.ts
+++ b/packages/mesh/src/admission/requestLimit.test.ts
@@ -1,7 +1,12 @@
 import {
-  makeFleetConfiguration, MeshFleet, type MeshFleetOptions, scheduleTraffic, type TrafficKind
+  atTime, makeAnnouncement, makeFleetConfiguration, makeMeshState, makeSlotRequest, MeshFleet, type MeshFleetOptions,
+  scheduleTraffic, type TrafficKind
 } from '@lavenderturn/fixtures/mesh'
+import { millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import { reduceMesh } from '../reduceMesh'
 import type { WorkOutcome } from './AdmissionEvent'
 
 const UNTIL_MS = 20_000
@@ -67,6 +72,77 @@
   return limit * WINDOW_MS / 1_000 * 1.5 + 5
 }
 
+const SLOTS = 12
+
+/** A server that has named a limit in the response to its first request, at 1 s. */
+function makeLimitedState (requestLimit: number): MeshState {
+  const state = makeMeshState()
+  const announcement = makeAnnouncement({ slots: SLOTS })
+  reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, 0))
+  ask(state, 'first', 0)
+  start(state, 'first', 0)
+  end(state, 'first', SUCCESS, { at: 1_000, requestLimit })
+  return state
+}
+
+/** Requests a slot and returns the verdict. */
+function ask (state: MeshState, id: string, at: number): string | undefined {
+  const message = makeSlotRequest({ reservation: toId(id), repeatable: true })
+  return findVerdict(reduceMesh(state, atTime({ slice: 'admission', type: 'slotAsked', message }, at)))
+}
+
+function findVerdict (effects: readonly MeshEffect[]): string | undefined {
+  for (const effect of effects) {
+    if (effect.slice === 'peer' && effect.message.kind === 'slot') return effect.message.refusal ?? effect.message.verdict
+  }
+  return undefined
+}
+
+function start (state: MeshState, id: string, at: number): void {
+  const timeout = millis(5_000)
+  const work = { reservation: toId<never>(id), callerRequestId: id, route: toId<never>('r'), fingerprint: toId<never>(id) }
+  reduceMesh(state, atTime({ slice: 'admission', type: 'workArrived', timeout, ...work }, at))
+}
+
+function end (
+  state: MeshState,
+  id: string,
+  outcome: WorkOutcome,
+  { at, requestLimit }: { readonly at: number, readonly requestLimit?: number }
+): MeshEffect[] {
+  const notice = { leaving: false, requestLimit }
+  return reduceMesh(state, atTime({ slice: 'admission', type: 'workEnded', reservation: toId(id), outcome, notice }, at))
+}
+
+describe('slots of a server that has named a limit', () => {
+  // Guards against granted slots that are not counted until their requests come.
+  it('are granted ahead of the rate for half a second at most', () => {
+    const state = makeLimitedState(4)
+    expect(['a', 'b', 'c', 'd'].map((id) => ask(state, id, 1_000))).toEqual(['granted', 'granted', 'granted', 'queued'])
+  })
+
+  // Guards against a queued request that is sent before the limit allows it, or never.
+  it('are granted to queued requests when the next one is due', () => {
+    const state = makeLimitedState(4)
+    for (const id of ['a', 'b', 'c', 'd']) ask(state, id, 1_000)
+    for (const id of ['a', 'b', 'c']) start(state, id, 1_000)
+    expect(findVerdict(reduceMesh(state, atTime({ slice: 'admission', type: 'queueDue' }, 1_200)))).toBeUndefined()
+    expect(findVerdict(reduceMesh(state, atTime({ slice: 'admission', type: 'queueDue' }, 1_260)))).toBe('granted')
+  })
+
+  // Guards against a repeat on a new connection that goes past the limit.
+  it('are needed by requests that are sent again', () => {
+    const state = makeLimitedState(4)
+    for (const id of ['a', 'b', 'c']) {
+      ask(state, id, 1_000)
+      start(state, id, 1_000)
+    }
+    const broken: WorkOutcome = { kind: 'broken', reason: 'staleConnection' }
+    const repeats = end(state, 'a', broken, { at: 1_010, requestLimit: 4 })
+    expect(repeats.some((effect) => effect.slice === 'admission' && effect.type === 'dispatch')).toBe(false)
+  })
+})
+
 const LIMITS = { 'node-1': 1, 'node-2': 1, 'node-3': 2.4, 'node-4': 0.5 }
 
 describe('a backend server that names a limit', () => {
--- a/packages/mesh/src/lifecycle/plannedStop.test.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.test.ts
@@ -66,6 +66,13 @@
     expect(waiting.every(({ result }) => result === 'noEndpoint' || result === 'draining')).toBe(true)
   })
 
+  // Guards against requests that wait until the process ends although no server could finish them by then.
+  it('tells them as soon as no server could run them to the end', () => {
+    const fleet = runStop({ stopped: ['node-1', 'node-2', 'node-3'] })
+    const latest = Math.max(...fleet.outcomes.map(({ at }) => at))
+    expect(latest).toBeLessThanOrEqual(STOP_MS + GRACE_MS - 900)
+  })
+
   // Guards against callers that get a closed connection for a request that may have run.
   it('answers requests that are still running at the end of the grace period', () => {
     const fleet = runStop({ serviceMs: 8_000 })
