Claim the ports of test fleets across processes

Cause: findPorts remembers its ports in its own process only, and a port is free until a child binds it and while that child restarts. The logs show it: bind EADDRINUSE 127.0.0.1:30476 in the suite, and both soaks beside each other lost a node to port 28860.

Change: a port is claimed by a file that names its process; claims of ended processes are taken over.

--- a/packages/mesh/src/gateway/GatewayState.ts
+++ b/packages/mesh/src/gateway/GatewayState.ts
@@ -66,7 +66,7 @@
 /** @public */
 export interface GatewayState {
   readonly requests: Map<RequestId, GatewayRequest>
-  /** Exchanges with callers whose request is being received or whose response is being written, and all others. */
+  /** Exchanges with callers, from the head of the request to the last byte of the response. */
   openExchanges: number
   /** Sequence number for reservation and grant ids. */
   nextNumber: number
--- a/packages/ports/src/findPorts.ts
+++ b/packages/ports/src/findPorts.ts
@@ -2,6 +2,7 @@
 import { createSocket } from 'node:dgram'
 import { once } from 'node:events'
 import { createServer } from 'node:net'
+import { claimPort } from './claimPort'
 
 /**
  * Candidate ports. They lie below the kernel's ephemeral range, which starts at 32,768: a port from there could be
@@ -31,6 +32,7 @@
     const port = randomInt(PORT_RANGE.first, PORT_RANGE.end)
     if (usedPorts.has(port)) continue
     usedPorts.add(port)
+    if (!claimPort(port)) continue
     const socket = await tryBind(port, protocol)
     if (socket !== undefined) sockets.set(port, socket)
   }
