Let late announcements reach nodes in the soak

The soak's servers announced that they leave until they came back, so that no restarted node could meet a late announcement of a server that had left. Once their departure is acknowledged they repeat their latest announcement that they are ready.

--- a/apps/soak/src/harness/BackendStandin.ts
+++ b/apps/soak/src/harness/BackendStandin.ts
@@ -25,6 +25,11 @@
   readonly onDrainAcknowledged: () => void
 }
 
+interface AnnouncementRequest {
+  readonly path: string
+  readonly body: string
+}
+
 /** Backend server of the soak. It runs in the process of the soak, which thus sees each received request. @public */
 export class BackendStandin {
   private readonly http: Server
@@ -32,6 +37,8 @@
   private sequence = 0
   private startedAtWall = Date.now()
   private startedAt = Number.NEGATIVE_INFINITY
+  /** The latest announcement that the server is ready. */
+  private readyAnnouncement: AnnouncementRequest | undefined
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly options: BackendStandinOptions) {
@@ -98,11 +105,21 @@
   }
 
   private announce (): void {
-    const { status } = this.state
+    const { status, drainedAt } = this.state
     if (status === 'crashed') return
-    const { protocol, dataCentre, announcementPort: port, onDrainAcknowledged } = this.options
+    if (status === 'draining' && drainedAt !== undefined) this.repeatReadyAnnouncement()
+    else this.sendState(status)
+  }
+
+  /** Sends an announcement of earlier once more, as a network does that delivers it late. */
+  private repeatReadyAnnouncement (): void {
+    if (this.readyAnnouncement !== undefined) this.send(this.readyAnnouncement, () => {})
+  }
+
+  private sendState (status: SoakServer['status']): void {
+    const { protocol, dataCentre, onDrainAcknowledged } = this.options
     const coldRemaining = millis(Math.max(0, Math.round(this.startedAt + COLD_TIME - performance.now())))
-    const { path, body } = protocol.composeAnnouncement({
+    const announcement = protocol.composeAnnouncement({
       server: this.state,
       address: toId<Address>(`127.0.0.1:${(this.http.address() as AddressInfo).port}`),
       dataCentre,
@@ -110,13 +127,20 @@
       sequence: ++this.sequence,
       coldRemaining
     })
+    if (status === 'ready') this.readyAnnouncement = announcement
+    this.send(announcement, (responseStatus) => {
+      const isLeaving = status === 'draining' && this.state.status === 'draining' && this.state.drainedAt === undefined
+      if (responseStatus !== OK || !isLeaving) return
+      this.state = { ...this.state, drainedAt: millis(0) }
+      onDrainAcknowledged()
+    })
+  }
+
+  private send ({ path, body }: AnnouncementRequest, onResponse: (status: number | undefined) => void): void {
+    const { announcementPort: port } = this.options
     const req = request({ host: '127.0.0.1', port, path, method: 'POST', agent: false }, (res) => {
       res.resume()
-      const isLeaving = status === 'draining' && this.state.status === 'draining' && this.state.drainedAt === undefined
-      if (res.statusCode === OK && isLeaving) {
-        this.state = { ...this.state, drainedAt: millis(0) }
-        onDrainAcknowledged()
-      }
+      onResponse(res.statusCode)
     })
     // The node may be stopped or paused; the next announcement is sent in any case.
     req.on('error', () => {})
