Tighten checks that could pass without showing anything, and mend names

The tests of planned stops found no cut request if the process never ended; they fail then. An unused option and parameter, a wrong comment on a bound, two comments and a misnamed variable are mended.

--- a/packages/mesh-runtime/src/admission/AdmissionHandler.ts
+++ b/packages/mesh-runtime/src/admission/AdmissionHandler.ts
@@ -141,7 +141,7 @@
 
   private async dispatch (attempt: Attempt, effect: Dispatch): Promise<void> {
     const { request } = attempt
-    // Present if the request is sent a second time.
+    // A request that is sent a second time has the reply of the first send.
     attempt.reply = undefined
     const { head, body, callerRequestId, callerService, team } = request
     const contextHeaders = this.protocol.composeBackendHeaders({
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -73,9 +73,9 @@
     return [describeIgnored('withdrawal ignored', { endpoint, startedAt }, server)]
   }
   // The withdrawal may be that of a later incarnation, and overtake its first announcement.
-  const departure = recordDeparture(state, { endpoint, startedAt: startedAt ?? server.startedAt })
-  if (endpoint !== server.endpoint || server.state === 'gone') return departure
-  return [...departure, ...closeServer(state, server, { nextState: 'gone', source: 'withdrawal' })]
+  const effects = recordDeparture(state, { endpoint, startedAt: startedAt ?? server.startedAt })
+  if (endpoint !== server.endpoint || server.state === 'gone') return effects
+  return [...effects, ...closeServer(state, server, { nextState: 'gone', source: 'withdrawal' })]
 }
 
 /**
--- a/packages/mesh/src/admission/requestLimit.test.ts
+++ b/packages/mesh/src/admission/requestLimit.test.ts
@@ -1,6 +1,6 @@
 import {
-  atTime, makeAnnouncement, makeFleetConfiguration, makeMeshState, makeSlotRequest, MeshFleet, type MeshFleetOptions,
-  scheduleTraffic, type TrafficKind
+  atTime, makeAnnouncement, makeFleetConfiguration, makeMeshState, makeSlotRequest, MeshFleet, scheduleTraffic,
+  type TrafficKind
 } from '@lavenderturn/fixtures/mesh'
 import { millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
@@ -11,7 +11,7 @@
 
 const UNTIL_MS = 20_000
 
-/** A server that names a limit must keep to it from then on, after this time. */
+/** A limit binds from this long after the server first named it. */
 const STABLE_MS = 3_000
 
 const WINDOW_MS = 4_000
@@ -27,7 +27,7 @@
 
 const configuration = makeFleetConfiguration({ routes: [{ pathPrefix: '/lookup/', repeatable: true }] })
 
-interface LimitedRun extends Pick<MeshFleetOptions, 'run'> {
+interface LimitedRun {
   readonly limits: Readonly<Record<string, number>>
   readonly liftedMs?: number
   /** How every third run ends. */
@@ -61,9 +61,9 @@
 }
 
 /** Finds the largest number of requests that a server got in a window that ends after the limit is in force. */
-function findMost (fleet: MeshFleet, node: string, untilMs = UNTIL_MS): number {
+function findMost (fleet: MeshFleet, node: string): number {
   const times = fleet.runs.filter((run) => run.node === node && run.at >= NAMED_MS + SERVICE_MS).map(({ at }) => at)
-  const ends = times.filter((at) => at >= NAMED_MS + STABLE_MS && at <= untilMs)
+  const ends = times.filter((at) => at >= NAMED_MS + STABLE_MS)
   return Math.max(0, ...ends.map((end) => times.filter((at) => at > end - WINDOW_MS && at <= end).length))
 }
 
--- a/packages/mesh/src/lifecycle/plannedStop.test.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.test.ts
@@ -42,7 +42,8 @@
 
 /** Finds the requests that were sent while the process was running and have no result when it ends. */
 function findCut (fleet: MeshFleet): string[] {
-  const endedAt = fleet.ended.get('node-1')!
+  const endedAt = fleet.ended.get('node-1')
+  if (endedAt === undefined) throw new Error('node-1 has not ended')
   const answered = new Set(fleet.outcomes.map(({ requestId }) => requestId))
   return [...fleet.arrivals].filter(([id, at]) => at < endedAt && !answered.has(id)).map(([id]) => id)
 }
