Take over a recorded departure that is later than one a process was told of

What could happen: a process that got the late withdrawal of an earlier server before it had read the registry kept that one and forgot the recorded departure of the latest server; a late announcement then opened it (DRAIN).

Cause: the comment said that what a process has learned is always later. Now the start times decide.

--- a/packages/mesh/src/admission/departures.test.ts
+++ b/packages/mesh/src/admission/departures.test.ts
@@ -53,6 +53,16 @@
     expect(ask(state, 'a', 1_200)).toBe('closed')
   })
 
+  // Guards against a late withdrawal of an earlier server that hides the recorded departure of the latest one.
+  it('takes over a recorded departure that is later than one it was told of before it read the registry', () => {
+    const state = makeMeshState()
+    const departure = { endpoint: makeAnnouncement().endpoint, startedAt: 9_000 }
+    withdraw(state, { endpoint: toId('server-0'), startedAt: 1_000 }, 0)
+    reduceMesh(state, atTime({ slice: 'directory', type: 'registryRead', records: [], departure }, 100))
+    announce(state, { startedAt: 9_000 }, 200)
+    expect(ask(state, 'a', 300)).toBe('closed')
+  })
+
   // Guards against a server that stays closed although a later incarnation of it has started.
   it('accepts the announcement of a later incarnation', () => {
     const state = makeMeshState()
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -88,8 +88,8 @@
  */
 export function restoreDeparture (state: MeshState, departure: Departure): MeshEffect[] {
   const { admission } = state
-  // A departure that this process has learned of is later than the recorded one.
-  if (admission.departure !== undefined) return []
+  // This process may have learned of a later departure, or of an earlier one by a late withdrawal.
+  if (admission.departure !== undefined && admission.departure.startedAt >= departure.startedAt) return []
   admission.departure = departure
   admission.isDepartureRecorded = true
   const { server } = admission
