Log the era of the store and readings that are ignored

The logs could not tell a reading that is ignored from one that misses changes: an ignored reading left no line. Logged: a store that was restored, and the first of several ignored readings with both positions. Metrics: the era, and the ignored readings in a row. The stand-in of the store can be restored from a copy.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
@@ -1,4 +1,5 @@
-import { makeMeshState } from '@lavenderturn/fixtures/mesh'
+import { makeMeshState, makeStorePosition } from '@lavenderturn/fixtures/mesh'
+import type { StorePosition } from '@lavenderturn/mesh'
 import { createLogger } from '@lavenderturn/runtime'
 import { millis } from '@lavenderturn/types'
 import { setFlagsFromString } from 'node:v8'
@@ -27,9 +28,9 @@
   }
 
   override async follow (
-    cursor: number, wait: unknown, signal: AbortSignal
+    { version }: StorePosition, wait: unknown, signal: AbortSignal
   ): Promise<ConfigurationReading | undefined> {
-    this.calls.push(`follow ${cursor}`)
+    this.calls.push(`follow ${version}`)
     return await this.answer('follow', signal)
   }
 
@@ -78,7 +79,7 @@
   it('reads the full state after a waiting call fails, because the next one might hang too', async () => {
     const source = new TestSource(async (call) => {
       if (call === 'follow') throw new Error('connection reset')
-      return { cursor: 7, storeTime: millis(0) }
+      return { cursor: makeStorePosition(7), storeTime: millis(0) }
     })
     startFollower(source)
     await wait(300)
@@ -93,7 +94,7 @@
     const source = new TestSource(async (call, signal) => {
       if (call === 'follow') await Promise.race([wait(followMs), waitForAbort(signal)])
       if (source.calls.length === 3) offset = -5_000
-      return { cursor: 7, storeTime: millis(performance.now()) }
+      return { cursor: makeStorePosition(7), storeTime: millis(performance.now()) }
     })
     startFollower(source)
     if (followMs > 1_000) setTimeout(() => { offset = 5_000 }, 100)
@@ -115,7 +116,7 @@
   it('reads the full state when the history is lost', async () => {
     let follows = 0
     const source = new TestSource(async (call, signal) => {
-      if (call === 'read') return { cursor: 7, storeTime: millis(0) }
+      if (call === 'read') return { cursor: makeStorePosition(7), storeTime: millis(0) }
       return ++follows === 1 ? undefined : await waitForAbort(signal)
     })
     startFollower(source)
--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from '@lavenderturn/mesh'
 import { millis } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -46,7 +47,7 @@
   private readonly backoff = new Backoff(BACKOFF_OPTIONS)
   private readonly stopped = new AbortController()
   private readonly sourceClock = new SourceClockEstimator()
-  private cursor: number | undefined
+  private cursor: StorePosition | undefined
   private isReachable = true
   private isActive: boolean
   private isReadRequested = false
@@ -123,7 +124,7 @@
       configuration,
       evacuated,
       unreadable,
-      version: reading.cursor,
+      position: reading.cursor,
       confirmed
     })
   }
--- a/packages/mesh-runtime/src/configuration/ConfigurationHandler.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationHandler.ts
@@ -1,4 +1,4 @@
-import { type Confirmation, findConfirmationAge, type MeshEffect } from '@lavenderturn/mesh'
+import { type Confirmation, findConfirmationAge, type MeshEffect, type StoreEra } from '@lavenderturn/mesh'
 import { splitAddress } from '@lavenderturn/runtime'
 import { type Address, type DataCentreId, millis } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
@@ -20,6 +20,8 @@
 const snapshotSchema = z.object({
   document: z.string(),
   version: z.number().check(z.nonnegative()),
+  // Nodes of the previous version do not send it.
+  era: z._default(z.number().check(z.nonnegative()), 0),
   ageMs: z.number().check(z.nonnegative()),
   evacuated: z.array(z.string())
 })
@@ -52,9 +54,9 @@
   composeSnapshot (): string | undefined {
     const document = this.options.source.exportDocument()
     const rest = this.options.runtime.query((state) => {
-      const { current, evacuated, unreadable, version } = state.configuration
+      const { current, evacuated, unreadable, position: { era, version } } = state.configuration
       if (current === undefined || unreadable !== undefined) return undefined
-      return { version, ageMs: Math.ceil(findConfirmationAge(state)), evacuated: [...evacuated] }
+      return { version, era, ageMs: Math.ceil(findConfirmationAge(state)), evacuated: [...evacuated] }
     })
     return document === undefined || rest === undefined ? undefined : JSON.stringify({ document, ...rest })
   }
@@ -63,13 +65,13 @@
     const { log, runtime, source } = this.options
     const start: Confirmation = { steadyAt: millis(performance.now()), wallAt: millis(Date.now()) }
     try {
-      const { document, version, ageMs, evacuated } = z.parse(snapshotSchema, JSON.parse(await fetchText(address)))
+      const { document, version, era, ageMs, evacuated } = z.parse(snapshotSchema, JSON.parse(await fetchText(address)))
       runtime.dispatch({
         slice: 'configuration',
         type: 'configurationRead',
         ...source.importDocument(document),
         evacuated: new Set(evacuated as DataCentreId[]),
-        version,
+        position: { era: era as StoreEra, version },
         // The other node stated the age after this node had asked, so the confirmation is no younger than this.
         confirmed: { steadyAt: millis(start.steadyAt - ageMs), wallAt: millis(start.wallAt - ageMs) }
       })
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -1,4 +1,4 @@
-import type { FleetConfiguration } from '@lavenderturn/mesh'
+import type { FleetConfiguration, StorePosition } from '@lavenderturn/mesh'
 import type { DataCentreId, Millis } from '@lavenderturn/types'
 
 /** The configuration in force, as read from a source. @public */
@@ -9,8 +9,8 @@
   readonly unreadable?: string
   /** Data centres that are taken out; absent if unchanged since the previous reading. */
   readonly evacuated?: ReadonlySet<DataCentreId>
-  /** Position in the history, to pass to `follow`; increases with each change of the source. */
-  readonly cursor: number
+  /** Position in the history, to pass to `follow`. Its version increases with each change within an era. */
+  readonly cursor: StorePosition
   /** The source's steady clock when it responded; its origin is arbitrary. */
   readonly storeTime: Millis
 }
@@ -35,7 +35,7 @@
    * @returns the reading, or undefined if the history since the cursor is no longer available
    * @throws StoreError if the store rejects the call or its response is invalid
    */
-  abstract follow (cursor: number, wait: Millis, signal: AbortSignal): Promise<ConfigurationReading | undefined>
+  abstract follow (cursor: StorePosition, wait: Millis, signal: AbortSignal): Promise<ConfigurationReading | undefined>
 
   /**
    * @returns the newest configuration in the form that `importDocument` of another node reads, or undefined if none was
--- a/packages/mesh-runtime/src/metrics/createMetricsServer.ts
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -42,13 +42,17 @@
 }
 
 function collectGauges ({ runtime, sink }: MetricsServerOptions): MetricSeries[] {
-  const { requests, members, revision, unreadable, unreadableParts, evacuated } = runtime.query((state) => ({
+  const {
+    requests, members, revision, unreadable, unreadableParts, evacuated, era, ignored
+  } = runtime.query((state) => ({
     requests: state.gateway.requests.size,
     members: state.directory.members.size,
     revision: state.configuration.current?.revision ?? 0,
     unreadable: state.configuration.unreadable === undefined ? 0 : 1,
     unreadableParts: state.configuration.current?.unreadableParts.length ?? 0,
-    evacuated: state.configuration.evacuated.size
+    evacuated: state.configuration.evacuated.size,
+    era: state.configuration.era,
+    ignored: state.configuration.ignoredReadings
   }))
   const gauge = (name: string, help: string, value: number): MetricSeries => {
     return { name, help, values: [{ labels: {}, value }] }
@@ -64,6 +68,8 @@
       'lavenderturn_mesh_configuration_parts_left_out', 'Parts of the revision in force that cannot be read', unreadableParts
     ),
     gauge('lavenderturn_mesh_data_centres_out', 'Data centres that operators have taken out', evacuated),
+    gauge('lavenderturn_mesh_store_era', 'Latest era of the store that is known; rises when it is restored', era),
+    gauge('lavenderturn_mesh_readings_ignored', 'Readings in a row that were ignored as older than a known one', ignored),
     gauge('lavenderturn_mesh_log_lines_dropped_total', 'Log lines dropped for a slow reader', sink?.droppedLines ?? 0)
   ]
 }
--- a/packages/mesh-runtime/src/peers/peerCodec.test.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -23,6 +23,7 @@
     following: true,
     revision: toId(4),
     version: 90,
+    era: toId(2),
     ageMs: 40,
     evacuated: [toId('dc-a')]
   },
--- a/packages/mesh-runtime/src/peers/peerCodec.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.ts
@@ -15,7 +15,7 @@
   askToken: ['grant', 'node', 'replyTo', 'team'],
   beat: ['node', 'boot', 'load', 'revision', 'leaving', 'hearsReceiver'],
   cancel: ['reservation'],
-  confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated'],
+  confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated', 'era'],
   crash: ['fingerprint', 'endpoint', 'startedAt'],
   hello: ['node', 'boot', 'dataCentre', 'service', 'peerAddress', 'forwardAddress', 'wantsReply'],
   recall: ['reservation', 'replyTo'],
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -76,7 +76,9 @@
     revision: nonNegativeNumber,
     version: nonNegativeNumber,
     ageMs: nonNegativeNumber,
-    evacuated: z.array(nonEmptyId)
+    evacuated: z.array(nonEmptyId),
+    // Nodes of the previous version do not send it.
+    era: z._default(nonNegativeNumber, 0)
   }),
   z.object({ kind: z.literal('crash'), fingerprint: nonEmptyId, endpoint: nonEmptyId, startedAt: z.number() })
 ])
--- a/packages/mesh/src/configuration/ConfigurationEvent.ts
+++ b/packages/mesh/src/configuration/ConfigurationEvent.ts
@@ -3,6 +3,7 @@
 import type { AskConfirmationMessage, ConfirmationMessage } from '../messages/PeerMessage'
 import type { Confirmation } from './ConfigurationState'
 import type { FleetConfiguration } from './FleetConfiguration'
+import type { StorePosition } from './StorePosition'
 
 /** The configuration store was read. Also sent when nothing has changed. @public */
 export interface ConfigurationRead extends EventBase {
@@ -14,8 +15,8 @@
   readonly evacuated?: ReadonlySet<DataCentreId>
   /** Why the newest configuration cannot be read; absent if it can. It then does not count as confirmed. */
   readonly unreadable?: string
-  /** Version of the store at the reading; absent if unknown. */
-  readonly version?: number
+  /** Where the store was at the reading; absent if unknown. */
+  readonly position?: StorePosition
   /** Clock readings when the call was sent. The answer cannot be older. */
   readonly confirmed: Confirmation
 }
--- a/packages/mesh/src/configuration/ConfigurationState.ts
+++ b/packages/mesh/src/configuration/ConfigurationState.ts
@@ -1,6 +1,7 @@
 import { type DataCentreId, type Millis, millis } from '@lavenderturn/types'
 import type { FleetConfiguration } from './FleetConfiguration'
 import type { RelayState } from './RelayState'
+import { FIRST_POSITION, type StoreEra, type StorePosition } from './StorePosition'
 
 /** When the store last confirmed the configuration in force. */
 export interface Confirmation {
@@ -17,8 +18,12 @@
   /** Data centres that operators have evacuated. */
   evacuated: ReadonlySet<DataCentreId>
   confirmed?: Confirmation
-  /** Version of the store when the content was read; of two contents the one of the greater version is newer. */
-  version: number
+  /** Where the store was when the content was read. */
+  position: StorePosition
+  /** Latest era of the store that this node knows of. */
+  era: StoreEra
+  /** Readings in a row that were ignored because a later one was known. */
+  ignoredReadings: number
   readonly relay: RelayState
   /** Why the newest configuration in the store cannot be read; an earlier one stays in force meanwhile. */
   unreadable?: string
@@ -31,7 +36,9 @@
 export function createConfigurationState (): ConfigurationState {
   return {
     evacuated: new Set(),
-    version: 0,
+    position: FIRST_POSITION,
+    era: FIRST_POSITION.era,
+    ignoredReadings: 0,
     relay: {
       following: false, queries: new Map(), faults: new Map(), repliedAt: millis(0), fetchUntil: millis(0), nextQuery: 0
     }
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationEvent, ConfigurationRead } from './ConfigurationEvent'
 import { acceptConfirmation } from './confirmationAge'
 import type { FleetConfiguration } from './FleetConfiguration'
+import { noteStoreEra } from './noteStoreEra'
 import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
 
 /** Number of unreadable parts that a log line names, because a line has to stay short. */
@@ -29,16 +30,18 @@
 /** Applies a reading. A configuration is never replaced by one of a lower revision. */
 function applyReading (state: MeshState, event: ConfigurationRead): MeshEffect[] {
   const { configuration } = state
-  const { version = configuration.version } = event
+  const { position = configuration.position } = event
   configuration.relay.fetchUntil = state.now
+  const noted = noteStoreEra(state, position.era)
   // Another node may have sent what it had read before this node's latest reading.
-  if (version < configuration.version) return []
-  configuration.version = version
+  if (position.version < configuration.position.version) return [...noted, ...noteIgnoredReading(state, event)]
+  configuration.position = position
+  configuration.ignoredReadings = 0
   // The keys of a configuration that cannot be read are not known, so it does not count as confirmed. Neither does the
   // one in force by a reading of an earlier one.
   const isSuperseded = (event.configuration?.revision ?? Infinity) < (configuration.current?.revision ?? 0)
   if (event.unreadable === undefined && !isSuperseded) acceptConfirmation(state, event.confirmed)
-  const effects: MeshEffect[] = noteReadability(state, event)
+  const effects: MeshEffect[] = [...noted, ...noteReadability(state, event)]
   if (event.configuration !== undefined) effects.push(...applyConfiguration(state, event.configuration))
   if (event.evacuated !== undefined) effects.push(...applyEvacuated(state, event.evacuated))
   return effects
@@ -49,12 +52,29 @@
   if (current !== undefined && current.revision >= next.revision) return []
   state.configuration.current = next
   removeStaleEntries(state, next)
-  const fields = { revision: next.revision }
+  const { era, version } = state.configuration.position
+  const fields = { revision: next.revision, era, version }
   return [
     { slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields }, ...logUnreadableParts(next)
   ]
 }
 
+/** Logs the first of several ignored readings in a row. */
+function noteIgnoredReading ({ configuration }: MeshState, event: ConfigurationRead): MeshEffect[] {
+  configuration.ignoredReadings += 1
+  if (configuration.ignoredReadings > 1) return []
+  const { position: known, current } = configuration
+  const fields = {
+    era: event.position?.era,
+    version: event.position?.version,
+    knownEra: known.era,
+    knownVersion: known.version,
+    revision: event.configuration?.revision,
+    revisionInForce: current?.revision
+  }
+  return [{ slice: 'log', type: 'line', level: 'warn', message: 'older reading ignored', fields }]
+}
+
 /** Logs the change between a configuration that can be read and one that cannot, but not each reading of it. */
 function noteReadability ({ configuration }: MeshState, { unreadable }: ConfigurationRead): MeshEffect[] {
   if (configuration.unreadable === unreadable) return []
--- a/packages/mesh/src/configuration/relay.test.ts
+++ b/packages/mesh/src/configuration/relay.test.ts
@@ -1,4 +1,4 @@
-import { makeFleetConfiguration, makeMeshState, atTime, RelayFleet, type RelayFleetOptions } from '@lavenderturn/fixtures/mesh'
+import { makeFleetConfiguration, makeMeshState, makeStorePosition, atTime, RelayFleet, type RelayFleetOptions } from '@lavenderturn/fixtures/mesh'
 import { millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
 import { reduceMesh } from '../reduceMesh'
@@ -163,7 +163,7 @@
     readonly at: number, readonly wallAt?: number, readonly ageMs?: number, readonly node?: string
   }): void {
     const message = {
-      kind: 'confirmation', query: toId<never>(query), node: toId<never>(node), following: true, revision: toId<never>(1), version: 0, ageMs, evacuated: []
+      kind: 'confirmation', query: toId<never>(query), node: toId<never>(node), following: true, revision: toId<never>(1), version: 0, ageMs, evacuated: [], era: toId<never>(0)
     } as const
     reduceMesh(state, atTime({ slice: 'configuration', type: 'confirmationReported', message }, at, wallAt))
   }
@@ -202,7 +202,7 @@
     const state = makeMeshState({ at: 0, configuration: makeFleetConfiguration({ revision: 7 }) })
     const configuration = makeFleetConfiguration({ revision: 6 })
     const confirmed = { steadyAt: millis(4_000), wallAt: millis(4_000) }
-    reduceMesh(state, atTime({ slice: 'configuration', type: 'configurationRead', configuration, version: 9, confirmed }, 4_100))
+    reduceMesh(state, atTime({ slice: 'configuration', type: 'configurationRead', configuration, position: makeStorePosition(9), confirmed }, 4_100))
     expect(state.configuration.current!.revision).toBe(7)
     expect(state.configuration.confirmed).toEqual({ steadyAt: 0, wallAt: 0 })
   })
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -7,6 +7,7 @@
 import type { ConfirmationAsked, ConfirmationReported } from './ConfigurationEvent'
 import { CURRENT_AGE, FETCH_TIMEOUT } from './configurationTimings'
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
+import { noteStoreEra } from './noteStoreEra'
 import type { OpenQuery } from './RelayState'
 
 /**
@@ -26,9 +27,10 @@
     node: identity.nodeId,
     following: configuration.relay.following,
     revision: configuration.current.revision,
-    version: configuration.version,
+    version: configuration.position.version,
     ageMs: Math.ceil(findConfirmationAge(state)),
-    evacuated: [...configuration.evacuated]
+    evacuated: [...configuration.evacuated],
+    era: configuration.position.era
   }
   return [{ slice: 'peer', type: 'send', to: message.replyTo, message: reply }]
 }
@@ -50,14 +52,17 @@
   relay.queries.delete(message.query)
   relay.repliedAt = now
   recordReliability(state, message)
+  const noted = noteStoreEra(state, message.era)
   const member = directory.members.get(message.node)
   const { current } = configuration
-  if (current === undefined || message.revision > current.revision) return fetchConfiguration(state, member)
+  if (current === undefined || message.revision > current.revision) {
+    return [...noted, ...fetchConfiguration(state, member)]
+  }
   // What an older revision says about the state of the store has been superseded by what this node knows.
-  if (message.revision < current.revision) return []
-  const effects: MeshEffect[] = []
-  if (message.version > configuration.version) {
-    configuration.version = message.version
+  if (message.revision < current.revision) return noted
+  const effects: MeshEffect[] = [...noted]
+  if (message.version > configuration.position.version) {
+    configuration.position = { era: message.era, version: message.version }
     effects.push(...applyEvacuated(state, new Set(message.evacuated)))
   }
   if (hasSameEvacuated(state, message)) acceptReport(state, message, query)
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -17,6 +17,7 @@
 } from './configuration/FleetConfiguration'
 export { findConfirmationAge } from './configuration/confirmationAge'
 export { findRoute, isRouteUnreadable } from './configuration/findRoute'
+export { FIRST_POSITION, type StoreEra, type StorePosition } from './configuration/StorePosition'
 export { isConfigurationConfirmed } from './configuration/isConfigurationConfirmed'
 export type { DirectoryEffect } from './directory/DirectoryEffect'
 export type { Member, MemberRecord } from './directory/Member'
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -3,6 +3,7 @@
 } from '@lavenderturn/types'
 import type { ReservationId } from '../admission/ReservationId'
 import type { QueryId } from '../configuration/RelayState'
+import type { StoreEra } from '../configuration/StorePosition'
 
 /** Load and health of a backend server, as reported by its admission. @public */
 export interface LoadSummary {
@@ -171,6 +172,8 @@
   readonly ageMs: number
   /** Data centres that operators have taken out. */
   readonly evacuated: readonly DataCentreId[]
+  /** Era of `version`. */
+  readonly era: StoreEra
 }
 
 /** Datagrams exchanged between nodes. @public */
--- a/standins/store/src/StoreState.ts
+++ b/standins/store/src/StoreState.ts
@@ -25,6 +25,13 @@
   /** Applies writes without sending a response. */
   | 'lost'
 
+/** The content of the store at a moment. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>
+  readonly history: readonly StoredChange[]
+  readonly ver: number
+}
+
 /** A feed call that waits for changes of a table after a version. */
 export interface FeedWaiter {
   readonly callId: number
@@ -40,9 +47,12 @@
   /** Version up to which changes have been removed from the history. */
   trimmedVer: number
   fault: StoreFault
+  /** Rises by one each time the store is restored from a copy. */
+  era: number
+  copy?: StoreCopy
 }
 
 /** @returns the state of an empty store */
 export function createStoreState (): StoreState {
-  return { rows: new Map(), history: [], waiters: new Map(), ver: 0, trimmedVer: 0, fault: 'none' }
+  return { rows: new Map(), history: [], waiters: new Map(), ver: 0, trimmedVer: 0, fault: 'none', era: 1 }
 }
--- a/standins/store/src/reduceStore.ts
+++ b/standins/store/src/reduceStore.ts
@@ -1,4 +1,4 @@
-import type { StoredChange, StoredRow, StoreFault, StoreState } from './StoreState'
+import type { StoreCopy, StoredChange, StoredRow, StoreFault, StoreState } from './StoreState'
 
 /** Key of a row in a transaction. */
 export interface RowKey {
@@ -20,6 +20,8 @@
   | { readonly type: 'waitOver', readonly callId: number }
   | { readonly type: 'faultSet', readonly fault: StoreFault }
   | { readonly type: 'historyDropped' }
+  | { readonly type: 'copyTaken' }
+  | { readonly type: 'copyRestored' }
 
 /** Response to a call. A call without this effect stays open. */
 export interface StoreEffect {
@@ -45,6 +47,12 @@
       state.trimmedVer = state.ver
       state.history.length = 0
       return []
+    case 'copyTaken':
+      state.copy = { rows: new Map(state.rows), history: [...state.history], ver: state.ver }
+      return []
+    case 'copyRestored':
+      if (state.copy !== undefined) restoreCopy(state, state.copy)
+      return []
     case 'waitOver': return endWait(state, event.callId)
   }
   if (state.fault === 'down') return [answer(event.callId, 503, {})]
@@ -86,13 +94,22 @@
   state: StoreState,
   { callId, table, after }: Extract<StoreEvent, { readonly type: 'changesAwaited' }>
 ): StoreEffect[] {
-  if (after < state.trimmedVer) return [answer(callId, 410, {})]
+  if (after < state.trimmedVer || after > state.ver) return [answer(callId, 410, {})]
   const rows = listChanges(state, table, after)
   if (rows.length > 0) return [answer(callId, 200, { rows, ver: state.ver })]
   state.waiters.set(callId, { callId, table, after })
   return []
 }
 
+/** Waiting calls go on, and are answered in the new era. */
+function restoreCopy (state: StoreState, { rows, history, ver }: StoreCopy): void {
+  state.rows.clear()
+  for (const [key, row] of rows) state.rows.set(key, row)
+  state.history.splice(0, Infinity, ...history)
+  state.ver = ver
+  state.era += 1
+}
+
 function endWait (state: StoreState, callId: number): StoreEffect[] {
   if (!state.waiters.delete(callId)) return []
   return [answer(callId, 200, { rows: [], ver: state.ver })]
--- a/standins/store/src/startStoreStandin.ts
+++ b/standins/store/src/startStoreStandin.ts
@@ -13,6 +13,10 @@
   readonly listKeys: (table: string) => string[]
   readonly setFault: (fault: StoreFault) => void
   readonly dropHistory: () => void
+  /** Takes a copy of the content. */
+  readonly takeCopy: () => void
+  /** Replaces the content with the copy, which begins a new era. Versions that were lost are given out again. */
+  readonly restoreCopy: () => void
   readonly stop: () => void
 }
 
@@ -33,7 +37,7 @@
       openResponses.delete(callId)
       if (res === undefined) continue
       const now = `${Math.round(performance.now() - startedAt)}ms`
-      res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...body, now }))
+      res.writeHead(status, { 'content-type': 'application/json', 'store-era': String(state.era) }).end(JSON.stringify({ ...body, now }))
     }
   }
 
@@ -67,6 +71,8 @@
     listKeys: (table) => [...state.rows.values()].filter((row) => row.table === table).map(({ key }) => key),
     setFault: (fault) => { dispatch({ type: 'faultSet', fault }) },
     dropHistory: () => { dispatch({ type: 'historyDropped' }) },
+    takeCopy: () => { dispatch({ type: 'copyTaken' }) },
+    restoreCopy: () => { dispatch({ type: 'copyRestored' }) },
     stop: () => {
       server.close()
       server.closeAllConnections()
