--- /dev/null
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -0,0 +1,132 @@
+import {
+  atTime, makeFleetConfiguration, makeMemberRecord, makeMeshState, makeStorePosition, RelayFleet
+} from '@lavenderturn/fixtures/mesh'
+import { type DataCentreId, millis, toId } from '@lavenderturn/types'
+import { describe, expect, it } from 'vitest'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import { reduceMesh } from '../reduceMesh'
+import type { StorePosition } from './StorePosition'
+
+/** The bound for configurations of the smallest deployment. */
+const CONFIGURATION_BOUND_MS = 2_000
+
+/** Age at which a node with a bound of 5 s for withdrawn keys refuses requests with keys. */
+const CONFIRMATION_LIMIT_MS = 4_300
+
+interface ReadingFixture {
+  readonly at: number
+  readonly position: StorePosition
+  /** Absent if the reading found no change. */
+  readonly revision?: number
+  readonly evacuated?: readonly string[]
+}
+
+function read (state: MeshState, { at, position, revision, evacuated }: ReadingFixture): MeshEffect[] {
+  return reduceMesh(state, atTime({
+    slice: 'configuration',
+    type: 'configurationRead',
+    configuration: revision === undefined ? undefined : makeFleetConfiguration({ revision }),
+    evacuated: evacuated === undefined ? undefined : new Set(evacuated.map((name) => toId<DataCentreId>(name))),
+    position,
+    confirmed: { steadyAt: millis(at), wallAt: millis(at) }
+  }, at))
+}
+
+/** Makes the state of a node that has read revision 7 at version 90 of the first era. */
+function makeReadingState (): MeshState {
+  const state = makeMeshState({ configuration: null })
+  read(state, { at: 1_000, position: makeStorePosition(90), revision: 7, evacuated: [] })
+  return state
+}
+
+describe('a reading of a restored store', () => {
+  // Guards against a node that ignores the store until the versions that it gives out again have caught up.
+  it('is in force and confirmed though its version is lower than one seen before', () => {
+    const state = makeReadingState()
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 9, evacuated: ['dc-b'] })
+    expect(state.configuration.current!.revision).toBe(9)
+    expect([...state.configuration.evacuated]).toEqual(['dc-b'])
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 5_000, wallAt: 5_000 })
+  })
+
+  // Guards against a late reading from before the restore that takes a newer one back, however great its version is.
+  it('is not taken back by a reading of the era before', () => {
+    const state = makeReadingState()
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 7, evacuated: ['dc-b'] })
+    read(state, { at: 5_100, position: makeStorePosition(95), revision: 7, evacuated: [] })
+    expect([...state.configuration.evacuated]).toEqual(['dc-b'])
+  })
+
+  // Guards against a copy that counts as proof that a lost configuration, which may have withdrawn a key, was never
+  // followed by another one.
+  it('does not confirm what is in force while the store has an older revision, nor do later ones without a change', () => {
+    const state = makeReadingState()
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: [] })
+    read(state, { at: 6_000, position: makeStorePosition(41, 2) })
+    expect(state.configuration.current!.revision).toBe(7)
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 1_000, wallAt: 1_000 })
+    read(state, { at: 7_000, position: makeStorePosition(42, 2), revision: 7 })
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 7_000, wallAt: 7_000 })
+  })
+})
+
+describe('a report of another node about a restored store', () => {
+  /** Makes a node that has read the store and queries its neighbour, and returns the query. */
+  function makeAskingState (): { readonly state: MeshState, readonly query: string } {
+    const state = makeReadingState()
+    reduceMesh(state, atTime({ slice: 'directory', type: 'registryRead', records: [makeMemberRecord('node-2')] }, 9_900))
+    const effects = reduceMesh(state, atTime({ slice: 'configuration', type: 'checkDue' }, 10_000))
+    for (const effect of effects) {
+      if (effect.slice === 'peer' && effect.message.kind === 'askConfirmation') return { state, query: effect.message.query }
+    }
+    throw new Error('no query was sent')
+  }
+
+  function report (state: MeshState, query: string, position: StorePosition, evacuated: readonly string[]): void {
+    const message = {
+      kind: 'confirmation',
+      query: toId<never>(query),
+      node: toId<never>('node-2'),
+      following: true,
+      revision: toId<never>(7),
+      ...position,
+      ageMs: 100,
+      evacuated: evacuated.map((name) => toId<DataCentreId>(name))
+    } as const
+    reduceMesh(state, atTime({ slice: 'configuration', type: 'confirmationReported', message }, 10_005))
+  }
+
+  // Guards against a node that learns nothing more from its neighbours once they have read the restored store.
+  it('is believed though its version is lower than one seen before', () => {
+    const { state, query } = makeAskingState()
+    report(state, query, makeStorePosition(40, 2), ['dc-b'])
+    expect([...state.configuration.evacuated]).toEqual(['dc-b'])
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 9_900, wallAt: 9_900 })
+  })
+
+  // Guards against a neighbour that has not noticed the restore and takes an evacuation back.
+  it('replaces nothing if it is of the era before', () => {
+    const { state, query } = makeAskingState()
+    read(state, { at: 10_001, position: makeStorePosition(40, 2), revision: 7, evacuated: ['dc-b'] })
+    report(state, query, makeStorePosition(95), [])
+    expect([...state.configuration.evacuated]).toEqual(['dc-b'])
+  })
+})
+
+describe('a fleet whose store is restored', () => {
+  // Guards against nodes that learn from each other about the restored store more slowly than the bound.
+  it.each([9, 47, 173])('has the next revision in force within the bound and stays confirmed, %i nodes', (nodesPerDataCentre) => {
+    const fleet = new RelayFleet({ dataCentres: 3, nodesPerDataCentre })
+    for (let round = 0; round < 20; round++) fleet.writeRevision()
+    fleet.runUntil(6_000)
+    fleet.restoreStore({ lostVersions: 15 })
+    const start = fleet.now
+    fleet.writeRevision()
+    const isMissing = (): boolean => fleet.list().some(({ revision }) => revision < 22)
+    while (fleet.now < start + 20_000 && isMissing()) fleet.runUntil(fleet.now + 10)
+    expect(fleet.now - start).toBeLessThan(CONFIGURATION_BOUND_MS)
+    fleet.runUntil(fleet.now + 6_000)
+    expect(Math.max(...fleet.list().map(({ ageMs }) => ageMs))).toBeLessThan(CONFIRMATION_LIMIT_MS)
+  })
+})
