Order positions of the store by their era before their version

Cause: a node takes a reading or a report for a late one if the version of the store is lower than one seen before.

Change: positions are compared by era first. A reading or report of an earlier era is still a late one, however great its version is. Revisions of configurations stay monotonic as before.

--- a/packages/mesh/src/configuration/StorePosition.ts
+++ b/packages/mesh/src/configuration/StorePosition.ts
@@ -17,3 +17,13 @@
 
 /** Before everything that a store contains. @public */
 export const FIRST_POSITION: StorePosition = { era: 0 as StoreEra, version: 0 }
+
+/**
+ * @param left - a position
+ * @param right - another position
+ * @returns whether the first one is earlier; every position of an era is earlier than those of later eras
+ * @public
+ */
+export function isEarlier (left: StorePosition, right: StorePosition): boolean {
+  return left.era === right.era ? left.version < right.version : left.era < right.era
+}
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -8,6 +8,7 @@
 import type { FleetConfiguration } from './FleetConfiguration'
 import { noteStoreEra } from './noteStoreEra'
 import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
+import { isEarlier } from './StorePosition'
 
 /** Number of unreadable parts that a log line names, because a line has to stay short. */
 const MAX_LOGGED_PARTS = 10
@@ -34,7 +35,7 @@
   configuration.relay.fetchUntil = state.now
   const noted = noteStoreEra(state, position.era)
   // Another node may have sent what it had read before this node's latest reading.
-  if (position.version < configuration.position.version) return [...noted, ...noteIgnoredReading(state, event)]
+  if (isEarlier(position, configuration.position)) return [...noted, ...noteIgnoredReading(state, event)]
   configuration.position = position
   configuration.ignoredReadings = 0
   // The keys of a configuration that cannot be read are not known, so it does not count as confirmed. Neither does the
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -9,6 +9,7 @@
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
 import { noteStoreEra } from './noteStoreEra'
 import type { OpenQuery } from './RelayState'
+import { isEarlier } from './StorePosition'
 
 /**
  * Tells another node which configuration this node has and how old its confirmation is.
@@ -61,8 +62,9 @@
   // What an older revision says about the state of the store has been superseded by what this node knows.
   if (message.revision < current.revision) return noted
   const effects: MeshEffect[] = [...noted]
-  if (message.version > configuration.position.version) {
-    configuration.position = { era: message.era, version: message.version }
+  const position = { era: message.era, version: message.version }
+  if (isEarlier(configuration.position, position)) {
+    configuration.position = position
     effects.push(...applyEvacuated(state, new Set(message.evacuated)))
   }
   if (hasSameEvacuated(state, message)) acceptReport(state, message, query)
