Confirm the configuration in force only while the store has it

Cause: a reading of the copy with an older revision did not confirm what is in force, but the next one, which finds no change, did: 'unchanged' was taken as 'the store has what is in force'. A full reading that found no configuration at all was taken the same way.

Change: the source states with each reading which revision the store has; the reading confirms only if that is the one in force or a later one, and nothing while the store has none.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -114,7 +114,7 @@
       this.cursor = undefined
       return
     }
-    const { configuration, evacuated, unreadable } = reading
+    const { configuration, storedRevision, evacuated, unreadable } = reading
     const confirmed = this.sourceClock.estimateResponseTime(start, readClocks(), reading.storeTime)
     // Without a known clock offset, read again: the response of a long call would be dated to its start.
     this.cursor = this.sourceClock.isCalibrated ? reading.cursor : undefined
@@ -122,6 +122,7 @@
       slice: 'configuration',
       type: 'configurationRead',
       configuration,
+      storedRevision,
       evacuated,
       unreadable,
       position: reading.cursor,
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -1,10 +1,12 @@
 import type { FleetConfiguration, StorePosition } from '@lavenderturn/mesh'
-import type { DataCentreId, Millis } from '@lavenderturn/types'
+import type { DataCentreId, Millis, Revision } from '@lavenderturn/types'
 
 /** The configuration in force, as read from a source. @public */
 export interface ConfigurationReading {
   /** Absent if unchanged since the previous reading, or if it cannot be read. */
   readonly configuration?: FleetConfiguration
+  /** Revision of the source's configuration, also if unchanged; absent if it has none that can be read. */
+  readonly storedRevision?: Revision
   /** Why the newest configuration cannot be read; repeated with each reading until a readable one is in the source. */
   readonly unreadable?: string
   /** Data centres that are taken out; absent if unchanged since the previous reading. */
@@ -49,5 +51,7 @@
    * @param document - what `exportDocument` of the other node returned
    * @returns the configuration, or why it cannot be read
    */
-  abstract importDocument (document: string): Pick<ConfigurationReading, 'configuration' | 'unreadable'>
+  abstract importDocument (
+    document: string
+  ): Pick<ConfigurationReading, 'configuration' | 'storedRevision' | 'unreadable'>
 }
--- a/packages/mesh/src/configuration/ConfigurationEvent.ts
+++ b/packages/mesh/src/configuration/ConfigurationEvent.ts
@@ -1,4 +1,4 @@
-import type { DataCentreId } from '@lavenderturn/types'
+import type { DataCentreId, Revision } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
 import type { AskConfirmationMessage, ConfirmationMessage } from '../messages/PeerMessage'
 import type { Confirmation } from './ConfigurationState'
@@ -11,6 +11,8 @@
   readonly type: 'configurationRead'
   /** Absent if unchanged. */
   readonly configuration?: FleetConfiguration
+  /** Revision that the store had at the reading; absent if it had none that can be read. */
+  readonly storedRevision?: Revision
   /** Absent if unchanged. */
   readonly evacuated?: ReadonlySet<DataCentreId>
   /** Why the newest configuration cannot be read; absent if it can. It then does not count as confirmed. */
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -39,9 +39,10 @@
   configuration.position = position
   configuration.ignoredReadings = 0
   // The keys of a configuration that cannot be read are not known, so it does not count as confirmed. Neither does the
-  // one in force by a reading of an earlier one.
-  const isSuperseded = (event.configuration?.revision ?? Infinity) < (configuration.current?.revision ?? 0)
-  if (event.unreadable === undefined && !isSuperseded) acceptConfirmation(state, event.confirmed)
+  // one in force while the store has an earlier one: what followed on it may be lost as well.
+  const { storedRevision } = event
+  const isInForce = storedRevision !== undefined && storedRevision >= (configuration.current?.revision ?? 0)
+  if (event.unreadable === undefined && isInForce) acceptConfirmation(state, event.confirmed)
   const effects: MeshEffect[] = [...noted, ...noteReadability(state, event)]
   if (event.configuration !== undefined) effects.push(...applyConfiguration(state, event.configuration))
   if (event.evacuated !== undefined) effects.push(...applyEvacuated(state, event.evacuated))
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -17,16 +17,21 @@
 interface ReadingFixture {
   readonly at: number
   readonly position: StorePosition
-  /** Absent if the reading found no change. */
-  readonly revision?: number
+  readonly revision: number
+  /** Whether the reading found no change. */
+  readonly unchanged?: boolean
   readonly evacuated?: readonly string[]
 }
 
-function read (state: MeshState, { at, position, revision, evacuated }: ReadingFixture): MeshEffect[] {
+function read (
+  state: MeshState,
+  { at, position, revision, unchanged = false, evacuated }: ReadingFixture
+): MeshEffect[] {
   return reduceMesh(state, atTime({
     slice: 'configuration',
     type: 'configurationRead',
-    configuration: revision === undefined ? undefined : makeFleetConfiguration({ revision }),
+    configuration: unchanged ? undefined : makeFleetConfiguration({ revision }),
+    storedRevision: toId(revision),
     evacuated: evacuated === undefined ? undefined : new Set(evacuated.map((name) => toId<DataCentreId>(name))),
     position,
     confirmed: { steadyAt: millis(at), wallAt: millis(at) }
@@ -63,7 +68,7 @@
   it('does not confirm what is in force while the store has an older revision, nor do later ones without a change', () => {
     const state = makeReadingState()
     read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: [] })
-    read(state, { at: 6_000, position: makeStorePosition(41, 2) })
+    read(state, { at: 6_000, position: makeStorePosition(41, 2), revision: 6, unchanged: true })
     expect(state.configuration.current!.revision).toBe(7)
     expect(state.configuration.confirmed).toEqual({ steadyAt: 1_000, wallAt: 1_000 })
     read(state, { at: 7_000, position: makeStorePosition(42, 2), revision: 7 })
