Write records and departures again after the store was restored

What callers could see: a request at a server whose departure had been acknowledged (DRAIN); a node that later processes do not find.

Cause: what a node writes to the store, it wrote once and took for kept. A copy lacks it, and nothing wrote it again but the minute's registry sync, which has the departure only as a condition. That condition is a version, which a restored store gives out again for another departure; and a row read from the copy replaced a later departure that the process knew.

Change: a node remembers in which era its record was written and writes it again once it hears of a later one, from the store or from another node; the record's transaction includes the departure unless the store has it. Versions of an earlier era are forgotten, and the next write learns the row from its failed condition. Of two departures the later one counts. A large fleet spreads the writes: some 100 nodes in half a second; nodes with a departure go first.

--- a/packages/mesh-runtime/src/directory/DirectoryHandler.ts
+++ b/packages/mesh-runtime/src/directory/DirectoryHandler.ts
@@ -63,11 +63,11 @@
     const { registry, runtime, log } = this.options
     while (!this.stopped) {
       try {
-        const departure = await callWithTimeout(async (signal) => await registry.write(own, signal))
+        const { departure, era } = await callWithTimeout(async (signal) => await registry.write(own, signal))
         const records = await callWithTimeout(async (signal) => await registry.list(signal))
         this.backoff.reset()
         this.isSyncing = false
-        runtime.enqueue({ slice: 'directory', type: 'registryRead', records, departure })
+        runtime.enqueue({ slice: 'directory', type: 'registryRead', records, departure, era })
         return
       } catch (err) {
         log.warn('registry does not answer', { error: String(err) })
--- a/packages/mesh-runtime/src/directory/MemberRegistry.ts
+++ b/packages/mesh-runtime/src/directory/MemberRegistry.ts
@@ -1,15 +1,25 @@
-import type { Departure, MemberRecord } from '@lavenderturn/mesh'
+import type { Departure, MemberRecord, StoreEra } from '@lavenderturn/mesh'
 import type { NodeId } from '@lavenderturn/types'
 
+/** Result of writing a record. @public */
+export interface RegistryWrite {
+  /** The latest departure that a process of this node has recorded, if any. */
+  readonly departure?: Departure
+  /** Era of the store that has the record. */
+  readonly era: StoreEra
+}
+
 /** Shared registry of the addresses of all nodes. @public */
 export abstract class MemberRegistry {
   /**
+   * Writes this node's record, and its latest departure if the store has lost it.
+   *
    * @param record - this node's record; replaces the previous one
    * @param signal - aborts the call
-   * @returns the latest departure that a process of this node has recorded, if any
+   * @returns the latest departure and the era of the store
    * @throws StoreError if the store rejects the call or its response is invalid
    */
-  abstract write (record: MemberRecord, signal: AbortSignal): Promise<Departure | undefined>
+  abstract write (record: MemberRecord, signal: AbortSignal): Promise<RegistryWrite>
 
   /**
    * Records a departure of this node's backend server, unless a later one is recorded.
--- a/packages/mesh-runtime/src/index.ts
+++ b/packages/mesh-runtime/src/index.ts
@@ -2,7 +2,7 @@
 export { type ConfigurationReading, ConfigurationSource } from './configuration/ConfigurationSource'
 export { createMeshNode, type MeshAddresses, type MeshNode, type MeshNodeOptions } from './createMeshNode'
 export { hashKey } from './gateway/CallerServer'
-export { MemberRegistry } from './directory/MemberRegistry'
+export { MemberRegistry, type RegistryWrite } from './directory/MemberRegistry'
 export { MeshEffectHandler, MeshObserver, MeshRuntime } from './MeshRuntime'
 export { decodePercent } from './protocol/decodePercent'
 export { removeConnectionHeaders } from './protocol/connectionHeaders'
--- a/packages/mesh/src/directory/DirectoryEvent.ts
+++ b/packages/mesh/src/directory/DirectoryEvent.ts
@@ -1,5 +1,6 @@
 import type { Address } from '@lavenderturn/types'
 import type { Departure } from '../admission/Departure'
+import type { StoreEra } from '../configuration/StorePosition'
 import type { EventBase } from '../MeshEvent'
 import type { HeartbeatMessage, HelloMessage } from '../messages/PeerMessage'
 import type { MemberRecord } from './Member'
@@ -17,6 +18,8 @@
   readonly records: readonly MemberRecord[]
   /** Departure that an earlier process of this node has recorded. */
   readonly departure?: Departure
+  /** Era of the store to which this node's record was written; absent if unknown. */
+  readonly era?: StoreEra
 }
 
 /** A heartbeat of another node was received. @public */
--- a/packages/mesh/src/directory/DirectoryState.ts
+++ b/packages/mesh/src/directory/DirectoryState.ts
@@ -1,4 +1,5 @@
 import { type Millis, millis, type NodeId, type ServiceId } from '@lavenderturn/types'
+import { FIRST_POSITION, type StoreEra } from '../configuration/StorePosition'
 import type { Member } from './Member'
 
 /** @public */
@@ -12,6 +13,8 @@
   /** Sequence number of the next heartbeat. Heartbeats are sent to other data centres less often. */
   nextHeartbeat: number
   registryReadAt: Millis
+  /** Era of the store to which this node's record was last written. */
+  recordEra: StoreEra
 }
 
 /**
@@ -19,5 +22,12 @@
  * @internal
  */
 export function createDirectoryState (): DirectoryState {
-  return { members: new Map(), byService: new Map(), registered: false, nextHeartbeat: 0, registryReadAt: millis(0) }
+  return {
+    members: new Map(),
+    byService: new Map(),
+    registered: false,
+    nextHeartbeat: 0,
+    registryReadAt: millis(0),
+    recordEra: FIRST_POSITION.era
+  }
 }
--- a/packages/mesh/src/directory/directoryTimings.ts
+++ b/packages/mesh/src/directory/directoryTimings.ts
@@ -24,5 +24,11 @@
  */
 export const REGISTRY_INTERVAL = millis(60_000)
 
+/**
+ * Nodes that write their records again in one heartbeat interval, on average, after the store was restored. Half of
+ * what a store of the smallest deployments takes, which handles 400 writes a second.
+ */
+export const RECORDS_PER_INTERVAL = 100
+
 /** Introductions to a node that does not reply. They are sent with the heartbeats to other data centres. */
 export const MAX_HELLOS = 5
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -1,7 +1,9 @@
 import { millis, toId } from '@lavenderturn/types'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { REMOTE_TRIAL_OVERDUE } from '../admission/admissionTimings'
 import { restoreDeparture } from '../admission/handleAnnouncement'
 import { scheduleConfirmationCheck } from '../configuration/checkConfirmation'
+import { noteStoreEra } from '../configuration/noteStoreEra'
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
@@ -10,7 +12,7 @@
 import { isHeardRecently } from './countMembers'
 import { composeHeartbeat, composeHello, describeRecord } from './describeSelf'
 import {
-  HEARTBEAT_INTERVAL, MAX_HELLOS, REGISTRY_INTERVAL, REMOTE_HEARTBEAT_EVERY, REMOVAL_TIMEOUT
+  HEARTBEAT_INTERVAL, MAX_HELLOS, RECORDS_PER_INTERVAL, REGISTRY_INTERVAL, REMOTE_HEARTBEAT_EVERY, REMOVAL_TIMEOUT
 } from './directoryTimings'
 import { updateHeartbeatPartners } from './heartbeatPartners'
 import { isAlive } from './isAlive'
@@ -50,12 +52,17 @@
   return { slice: 'timer', type: 'set', id: toId('directory/beat'), delay: HEARTBEAT_INTERVAL, event }
 }
 
-function readRegistry (state: MeshState, { records, departure }: RegistryRead): MeshEffect[] {
+function readRegistry (
+  state: MeshState,
+  { records, departure, era = state.configuration.era }: RegistryRead
+): MeshEffect[] {
   const { directory } = state
   const isFirstRead = !directory.registered
   directory.registered = true
   directory.registryReadAt = state.now
-  const effects: MeshEffect[] = departure === undefined ? [] : restoreDeparture(state, departure)
+  directory.recordEra = era
+  const effects: MeshEffect[] = noteStoreEra(state, era)
+  if (departure !== undefined) effects.push(...restoreDeparture(state, departure))
   const message = composeHello(state, true)
   for (const record of records) {
     // Another node may have read the registry before this node's record was written. The hello introduces this node.
@@ -192,7 +199,8 @@
     effects.push({ slice: 'peer', type: 'send', to: member.peerAddress, message })
   }
   removeDeparted(state)
-  if (directory.registered && state.now - directory.registryReadAt > REGISTRY_INTERVAL) {
+  const isDue = state.now - directory.registryReadAt > REGISTRY_INTERVAL
+  if (directory.registered && (isDue || isRecordLost(state))) {
     directory.registryReadAt = state.now
     effects.push({ slice: 'directory', type: 'syncRegistry', own: describeRecord(state) })
   }
@@ -215,6 +223,17 @@
   return effects
 }
 
+/**
+ * Decides whether to write this node's record again, because the store was restored since. Most nodes of a large fleet
+ * wait for a later interval, so that they do not all call the store at once.
+ */
+function isRecordLost ({ admission, configuration, directory, lifecycle, random }: MeshState): boolean {
+  if (configuration.era <= directory.recordEra || lifecycle.stopping) return false
+  // The next process of this node must not use a server whose departure was acknowledged.
+  if (admission.departure !== undefined) return true
+  return uniformInt(random, 0, directory.members.size - 1) < RECORDS_PER_INTERVAL
+}
+
 /** Removes nodes that left on purpose, so that team rates are no longer divided among them. */
 function removeDeparted (state: MeshState): void {
   for (const member of [...state.directory.members.values()]) {
