Learn the store's clock anew after it was restored

What callers could see: a withdrawn key that works for longer than the bound after a pause of the node.

Cause: responses are dated by the smallest offset seen between the clocks of the store and of the process. A restored store may have another clock. If that is ahead, each response counts as sent when it arrives, however long it was on its way or the process stood still.

Change: the offset is forgotten with the era.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.test.ts
@@ -1,11 +1,11 @@
 import { makeMeshState, makeStorePosition } from '@lavenderturn/fixtures/mesh'
-import type { StorePosition } from '@lavenderturn/mesh'
+import type { MeshEvent, StorePosition } from '@lavenderturn/mesh'
 import { createLogger } from '@lavenderturn/runtime'
 import { millis } from '@lavenderturn/types'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { afterEach, describe, expect, it, vi } from 'vitest'
-import { MeshRuntime } from '../MeshRuntime'
+import { MeshObserver, MeshRuntime } from '../MeshRuntime'
 import { ConfigurationFollower } from './ConfigurationFollower'
 import { type ConfigurationReading, ConfigurationSource } from './ConfigurationSource'
 
@@ -47,10 +47,21 @@
 
 afterEach(() => { follower?.stop() })
 
-function startFollower (source: ConfigurationSource): void {
-  const runtime = new MeshRuntime({ state: makeMeshState() })
+/** Records how old each reading was when it was dispatched, in milliseconds. */
+class AgeObserver extends MeshObserver {
+  readonly ages: number[] = []
+
+  override observe (event: MeshEvent): void {
+    if (event.type === 'configurationRead') this.ages.push(event.at - event.confirmed.steadyAt)
+  }
+}
+
+function startFollower (source: ConfigurationSource): AgeObserver {
+  const observer = new AgeObserver()
+  const runtime = new MeshRuntime({ state: makeMeshState(), observers: [observer] })
   follower = new ConfigurationFollower({ runtime, source, log: createLogger({ write: () => {} }) })
   void follower.run()
+  return observer
 }
 
 /** Never resolves, like a call on a silent connection; rejects when the call is aborted. */
@@ -123,4 +134,23 @@
     await wait(200)
     expect(source.calls).toEqual(['read', 'follow 7', 'read', 'follow 7'])
   })
+
+  // Guards against a late response that is dated to its arrival, since the restored source has another clock: a key
+  // that was withdrawn meanwhile would stay valid.
+  it('dates a response by the clock that the source has since it was restored', async () => {
+    let restoredAt = Infinity
+    const source = new TestSource(async () => {
+      const sentAt = performance.now()
+      await wait(100)
+      // The response is on its way for 200 ms.
+      if (sentAt > restoredAt) await wait(200)
+      const isRestored = sentAt >= restoredAt
+      return { cursor: makeStorePosition(7, isRestored ? 2 : 1), storeTime: millis(sentAt + (isRestored ? 9_000 : 0)) }
+    })
+    const { ages } = startFollower(source)
+    await wait(300)
+    restoredAt = performance.now()
+    await wait(800)
+    expect(Math.min(...ages.slice(-2))).toBeGreaterThanOrEqual(200)
+  })
 })
--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -1,4 +1,4 @@
-import type { StorePosition } from '@lavenderturn/mesh'
+import { FIRST_POSITION, type StoreEra, type StorePosition } from '@lavenderturn/mesh'
 import { millis } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -48,6 +48,8 @@
   private readonly stopped = new AbortController()
   private readonly sourceClock = new SourceClockEstimator()
   private cursor: StorePosition | undefined
+  /** Era of the latest reading. */
+  private era: StoreEra = FIRST_POSITION.era
   private isReachable = true
   private isActive: boolean
   private isReadRequested = false
@@ -115,6 +117,8 @@
       return
     }
     const { configuration, storedRevision, evacuated, unreadable } = reading
+    if (reading.cursor.era !== this.era) this.sourceClock.reset()
+    this.era = reading.cursor.era
     const confirmed = this.sourceClock.estimateResponseTime(start, readClocks(), reading.storeTime)
     // Without a known clock offset, read again: the response of a long call would be dated to its start.
     this.cursor = this.sourceClock.isCalibrated ? reading.cursor : undefined
--- a/packages/mesh-runtime/src/configuration/SourceClockEstimator.ts
+++ b/packages/mesh-runtime/src/configuration/SourceClockEstimator.ts
@@ -26,6 +26,12 @@
     return Number.isFinite(this.steadyOffset)
   }
 
+  /** Forgets the offset, because the source may have another clock from now on. */
+  reset (): void {
+    this.steadyOffset = Number.POSITIVE_INFINITY
+    this.wallOffset = Number.POSITIVE_INFINITY
+  }
+
   /**
    * @param now - both clocks now
    * @returns whether one of them was stopped or set since the latest response
@@ -48,8 +54,7 @@
     this.wallSteadyDifference = end.wallAt - end.steadyAt
     if (jumped) {
       // The machine was suspended or its time was set, so the known bounds no longer hold.
-      this.steadyOffset = Number.POSITIVE_INFINITY
-      this.wallOffset = Number.POSITIVE_INFINITY
+      this.reset()
       return start
     }
     this.steadyOffset = Math.min(this.steadyOffset, storeTime - start.steadyAt)
