Keep an evacuation that a restored store has lost for 10 s

What callers could see: requests at servers of a data centre that operators have taken out (EVAC).

Cause: the evacuation written between the copy and the outage is missing in the restored store; each reading of it opened the data centre again until the operators had written the row once more.

Change: the set of a store in a new era may take back only what was not in force before; what it lacks holds for 10 s, or until the store has it again, from when on it follows the store. Each node keeps this by itself, so that reports go on to carry the store's own set.

Result: with the time set to 0 the test 'holds until the operators can have written it again' fails, with 10 s it passes.

--- a/packages/mesh/src/admission/findUnavailableReason.ts
+++ b/packages/mesh/src/admission/findUnavailableReason.ts
@@ -1,3 +1,4 @@
+import { isEvacuated } from '../configuration/isEvacuated'
 import type { MeshState } from '../MeshState'
 import type { SlotRefusal } from '../messages/PeerMessage'
 import { MAX_MISSED_ANNOUNCEMENTS } from './admissionTimings'
@@ -10,11 +11,11 @@
  * @internal
  */
 export function findUnavailableReason (state: MeshState): SlotRefusal | undefined {
-  const { admission: { server }, bounds, configuration, directory, identity, lifecycle, now } = state
+  const { admission: { server }, bounds, directory, identity, lifecycle, now } = state
   // The registry tells whether the server has left while an earlier process of this node was running.
   if (!directory.registered) return 'closed'
   if (lifecycle.stopping || server === undefined || server.state !== 'ready' || !server.reachable) return 'closed'
   if (now - server.lastAnnouncedAt > bounds.announceInterval * MAX_MISSED_ANNOUNCEMENTS) return 'closed'
-  if (configuration.evacuated.has(identity.dataCentre)) return 'evacuated'
+  if (isEvacuated(state, identity.dataCentre)) return 'evacuated'
   return undefined
 }
--- a/packages/mesh/src/configuration/ConfigurationState.ts
+++ b/packages/mesh/src/configuration/ConfigurationState.ts
@@ -17,6 +17,8 @@
   current?: FleetConfiguration
   /** Data centres that operators have evacuated. */
   evacuated: ReadonlySet<DataCentreId>
+  /** Data centres whose evacuation the store has lost, and until when it still holds. */
+  readonly retainedEvacuations: Map<DataCentreId, Millis>
   confirmed?: Confirmation
   /** Where the store was when the content was read. */
   position: StorePosition
@@ -36,6 +38,7 @@
 export function createConfigurationState (): ConfigurationState {
   return {
     evacuated: new Set(),
+    retainedEvacuations: new Map(),
     position: FIRST_POSITION,
     era: FIRST_POSITION.era,
     ignoredReadings: 0,
--- a/packages/mesh/src/configuration/configurationTimings.ts
+++ b/packages/mesh/src/configuration/configurationTimings.ts
@@ -1,5 +1,11 @@
 import { millis } from '@lavenderturn/types'
 
+/**
+ * Time for which an evacuation that a restored store lacks still holds, so that operators can write it again before
+ * requests reach the data centre.
+ */
+export const LOST_EVACUATION_TIME = millis(10_000)
+
 /** Interval between queries for the confirmations of other nodes. */
 export const QUERY_INTERVAL = millis(500)
 
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -1,7 +1,7 @@
 import { type RouteId, toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { applyEvacuated } from './applyEvacuated'
+import { applyEvacuated, applyRestoredEvacuated } from './applyEvacuated'
 import { checkConfirmation } from './checkConfirmation'
 import type { ConfigurationEvent, ConfigurationRead } from './ConfigurationEvent'
 import { acceptConfirmation } from './confirmationAge'
@@ -36,6 +36,7 @@
   const noted = noteStoreEra(state, position.era)
   // Another node may have sent what it had read before this node's latest reading.
   if (isEarlier(position, configuration.position)) return [...noted, ...noteIgnoredReading(state, event)]
+  const isRestored = position.era > configuration.position.era
   configuration.position = position
   configuration.ignoredReadings = 0
   // The keys of a configuration that cannot be read are not known, so it does not count as confirmed. Neither does the
@@ -45,7 +46,10 @@
   if (event.unreadable === undefined && isInForce) acceptConfirmation(state, event.confirmed)
   const effects: MeshEffect[] = [...noted, ...noteReadability(state, event)]
   if (event.configuration !== undefined) effects.push(...applyConfiguration(state, event.configuration))
-  if (event.evacuated !== undefined) effects.push(...applyEvacuated(state, event.evacuated))
+  if (event.evacuated !== undefined) {
+    const apply = isRestored ? applyRestoredEvacuated : applyEvacuated
+    effects.push(...apply(state, event.evacuated))
+  }
   return effects
 }
 
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -3,7 +3,7 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { ConfirmationMessage } from '../messages/PeerMessage'
-import { applyEvacuated } from './applyEvacuated'
+import { applyEvacuated, applyRestoredEvacuated } from './applyEvacuated'
 import type { ConfirmationAsked, ConfirmationReported } from './ConfigurationEvent'
 import { CURRENT_AGE, FETCH_TIMEOUT } from './configurationTimings'
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
@@ -64,8 +64,9 @@
   const effects: MeshEffect[] = [...noted]
   const position = { era: message.era, version: message.version }
   if (isEarlier(configuration.position, position)) {
+    const apply = position.era > configuration.position.era ? applyRestoredEvacuated : applyEvacuated
     configuration.position = position
-    effects.push(...applyEvacuated(state, new Set(message.evacuated)))
+    effects.push(...apply(state, new Set(message.evacuated)))
   }
   if (hasSameEvacuated(state, message)) acceptReport(state, message, query)
   return effects
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -1,5 +1,6 @@
 import {
-  atTime, makeFleetConfiguration, makeMemberRecord, makeMeshState, makeStorePosition, RelayFleet
+  atTime, makeAnnouncement, makeFleetConfiguration, makeMemberRecord, makeMeshState, makeSlotRequest, makeStorePosition,
+  RelayFleet
 } from '@lavenderturn/fixtures/mesh'
 import { type DataCentreId, millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
@@ -76,6 +77,46 @@
   })
 })
 
+describe('an evacuation that a restored store lacks', () => {
+  function isOpen (state: MeshState, at: number): boolean {
+    const message = makeSlotRequest({ reservation: toId(`reservation-${at}`) })
+    const announcement = makeAnnouncement({ seq: at })
+    reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, at))
+    const [reply] = reduceMesh(state, atTime({ slice: 'admission', type: 'slotAsked', message }, at))
+    return reply?.slice === 'peer' && reply.message.kind === 'slot' && reply.message.verdict === 'granted'
+  }
+
+  function makeEvacuatedState (): MeshState {
+    const state = makeReadingState()
+    read(state, { at: 2_000, position: makeStorePosition(91), revision: 7, evacuated: ['dc-a'] })
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 7, evacuated: [] })
+    return state
+  }
+
+  // Guards against requests in a data centre that was taken out, before the operators have written that again.
+  it('holds until the operators can have written it again', () => {
+    const state = makeEvacuatedState()
+    expect(isOpen(state, 9_000)).toBe(false)
+    expect(isOpen(state, 15_100)).toBe(true)
+  })
+
+  it('ends when the operators take it back after they have written it again', () => {
+    const state = makeEvacuatedState()
+    read(state, { at: 6_000, position: makeStorePosition(41, 2), revision: 7, evacuated: ['dc-a'] })
+    expect(isOpen(state, 7_000)).toBe(false)
+    read(state, { at: 8_000, position: makeStorePosition(42, 2), revision: 7, evacuated: [] })
+    expect(isOpen(state, 8_100)).toBe(true)
+  })
+
+  // Guards against a late reading that takes an evacuation for lost which the operators have taken back.
+  it('is not kept if it is taken back within an era', () => {
+    const state = makeReadingState()
+    read(state, { at: 2_000, position: makeStorePosition(91), revision: 7, evacuated: ['dc-a'] })
+    read(state, { at: 5_000, position: makeStorePosition(92), revision: 7, evacuated: [] })
+    expect(isOpen(state, 5_100)).toBe(true)
+  })
+})
+
 describe('a report of another node about a restored store', () => {
   /** Makes a node that has read the store and queries its neighbour, and returns the query. */
   function makeAskingState (): { readonly state: MeshState, readonly query: string } {
--- a/packages/mesh/src/gateway/requestSlot.ts
+++ b/packages/mesh/src/gateway/requestSlot.ts
@@ -1,6 +1,7 @@
 import { millis, type NodeId, toId } from '@lavenderturn/types'
 import type { ReservationId } from '../admission/ReservationId'
 import { summarizeLoad } from '../admission/summarizeLoad'
+import { isEvacuated } from '../configuration/isEvacuated'
 import { listServers } from '../directory/memberTable'
 import { recordReply } from '../directory/recordReply'
 import { recordUnanswered } from '../directory/recordUnanswered'
@@ -64,7 +65,7 @@
   const candidates: Member[] = []
   for (const member of listServers(state.directory, request.service)) {
     if (member.leaving) continue
-    if (state.configuration.evacuated.has(member.dataCentre)) continue
+    if (isEvacuated(state, member.dataCentre)) continue
     if (asked.has(member.node) || request.refusedBy.has(member.node) || request.sentTo.has(member.node)) continue
     if (member.node === state.identity.nodeId) recordReply(state, member.node, summarizeLoad(state))
     candidates.push(member)
