Take over a later revision that only neighbours know after a restore

What callers could see: a removed route or a withdrawn key in use again behind a node that started after the restore, though its neighbours have the later revision in force (CONFIG).

Cause: such a node has read the copy, at a position of the new era. What it then fetched from a neighbour that had not read the restored store yet was of an earlier position, and was ignored as a whole.

Change: of an earlier reading a later revision counts all the same, since revisions only increase. Its confirmation replaces the one of the copy, and nothing else of it is applied.

Result: the new test failed before (revision 6 stayed in force).

--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -4,6 +4,7 @@
 import { applyEvacuated, applyRestoredEvacuated } from './applyEvacuated'
 import { checkConfirmation } from './checkConfirmation'
 import type { ConfigurationEvent, ConfigurationRead } from './ConfigurationEvent'
+import type { ConfigurationState } from './ConfigurationState'
 import { acceptConfirmation } from './confirmationAge'
 import type { FleetConfiguration } from './FleetConfiguration'
 import { noteStoreEra } from './noteStoreEra'
@@ -35,7 +36,7 @@
   configuration.relay.fetchUntil = state.now
   const noted = noteStoreEra(state, position.era)
   // Another node may have sent what it had read before this node's latest reading.
-  if (isEarlier(position, configuration.position)) return [...noted, ...noteIgnoredReading(state, event)]
+  if (isEarlier(position, configuration.position)) return [...noted, ...applyEarlierReading(state, event)]
   const isRestored = position.era > configuration.position.era
   configuration.position = position
   configuration.ignoredReadings = 0
@@ -53,6 +54,20 @@
   return effects
 }
 
+/**
+ * Handles a reading from before the latest one. Of its content only a later revision counts, which a restored store has
+ * lost; it is no younger than what the node that sent it was told.
+ */
+function applyEarlierReading (state: MeshState, event: ConfigurationRead): MeshEffect[] {
+  const { configuration } = state
+  const { configuration: read, confirmed } = event
+  if (read === undefined || read.revision <= (configuration.current?.revision ?? 0)) {
+    return noteIgnoredReading(configuration, event)
+  }
+  configuration.confirmed = confirmed
+  return applyConfiguration(state, read)
+}
+
 function applyConfiguration (state: MeshState, next: FleetConfiguration): MeshEffect[] {
   const { current } = state.configuration
   if (current !== undefined && current.revision >= next.revision) return []
@@ -66,7 +81,7 @@
 }
 
 /** Logs the first of several ignored readings in a row. */
-function noteIgnoredReading ({ configuration }: MeshState, event: ConfigurationRead): MeshEffect[] {
+function noteIgnoredReading (configuration: ConfigurationState, event: ConfigurationRead): MeshEffect[] {
   configuration.ignoredReadings += 1
   if (configuration.ignoredReadings > 1) return []
   const { position: known, current } = configuration
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -22,11 +22,12 @@
   /** Whether the reading found no change. */
   readonly unchanged?: boolean
   readonly evacuated?: readonly string[]
+  readonly confirmedAt?: number
 }
 
 function read (
   state: MeshState,
-  { at, position, revision, unchanged = false, evacuated }: ReadingFixture
+  { at, position, revision, unchanged = false, evacuated, confirmedAt = at }: ReadingFixture
 ): MeshEffect[] {
   return reduceMesh(state, atTime({
     slice: 'configuration',
@@ -35,7 +36,7 @@
     storedRevision: toId(revision),
     evacuated: evacuated === undefined ? undefined : new Set(evacuated.map((name) => toId<DataCentreId>(name))),
     position,
-    confirmed: { steadyAt: millis(at), wallAt: millis(at) }
+    confirmed: { steadyAt: millis(confirmedAt), wallAt: millis(confirmedAt) }
   }, at))
 }
 
@@ -77,6 +78,18 @@
   })
 })
 
+describe('a process that started after the restore and has read the copy', () => {
+  // Guards against a route or a key that comes back with the copy, although a neighbour knows the later revision.
+  it('takes over the later revision of a neighbour that has not read the restored store', () => {
+    const state = makeMeshState({ configuration: null })
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: ['dc-b'] })
+    read(state, { at: 5_500, position: makeStorePosition(90), revision: 7, evacuated: [], confirmedAt: 3_000 })
+    expect(state.configuration.current!.revision).toBe(7)
+    expect([...state.configuration.evacuated]).toEqual(['dc-b'])
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 3_000, wallAt: 3_000 })
+  })
+})
+
 describe('an evacuation that a restored store lacks', () => {
   function isOpen (state: MeshState, at: number): boolean {
     const message = makeSlotRequest({ reservation: toId(`reservation-${at}`) })
