Drop heartbeats of nodes with infinite numbers

JSON carries numbers such as 1e999 that are read as infinite. The decoder of heartbeats took them, unlike the schema of all other datagrams; a load or a revision without end then stood in the member's entry.

--- a/packages/mesh-runtime/src/peers/decodeHeartbeat.ts
+++ b/packages/mesh-runtime/src/peers/decodeHeartbeat.ts
@@ -23,7 +23,7 @@
   if (!Array.isArray(values)) return undefined
   const [open, slots, used, queued, suspect, ...times] = values as readonly unknown[]
   const [errorRate, serviceMs, dueMs = 0, limitDelayMs = 0] = times
-  if (typeof open !== 'boolean' || typeof suspect !== 'boolean' || typeof dueMs !== 'number') return undefined
+  if (typeof open !== 'boolean' || typeof suspect !== 'boolean' || !isFinite(dueMs)) return undefined
   if (!isCount(slots) || !isCount(used) || !isCount(queued)) return undefined
   if (!isCount(errorRate) || !isCount(serviceMs) || !isCount(limitDelayMs)) return undefined
   return { open, slots, used, queued, suspect, errorRate, serviceMs, dueMs, limitDelayMs }
@@ -34,5 +34,10 @@
 }
 
 function isCount (value: unknown): value is number {
-  return typeof value === 'number' && value >= 0
+  return isFinite(value) && value >= 0
+}
+
+/** JSON can carry numbers that are read as infinite. */
+function isFinite (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value)
 }
