Answer announcements that are too long with 413

A heartbeat of 120 kB ended with a closed connection, which a server takes for a node that does not run. The rest of the body is read for 1 s at most before the response, since closing a connection with unread bytes resets it.

--- a/packages/mesh-runtime/src/servers/AnnouncementServer.ts
+++ b/packages/mesh-runtime/src/servers/AnnouncementServer.ts
@@ -3,11 +3,14 @@
 import type { ConsolaInstance } from 'consola'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
-import { readBody } from '../readBody'
+import { BodyTooLargeError, readBody } from '../readBody'
 import type { AnnouncementCall, AnnouncementProtocol } from './AnnouncementProtocol'
 
 const MAX_BODY_BYTES = 65_536
 
+/** Time for the rest of a body that is too long. */
+const BODY_END_TIMEOUT_MS = 1_000
+
 /** @internal */
 export interface AnnouncementServerOptions {
   readonly runtime: MeshRuntime
@@ -44,7 +47,8 @@
       body = await readBody(req, { maxBytes: MAX_BODY_BYTES })
     } catch (err) {
       log.warn('announcement not read', { error: String(err) })
-      res.destroy()
+      if (err instanceof BodyTooLargeError) rejectTooLarge(req, res)
+      else res.destroy()
       return
     }
     const path = (req.url ?? '/').split('?', 1)[0]!
@@ -81,6 +85,13 @@
   }
 }
 
+/** Responds once the rest of the body has come, because a connection that is closed before may lose the response. */
+function rejectTooLarge (req: IncomingMessage, res: ServerResponse): void {
+  const timeout = setTimeout(() => { res.destroy() }, BODY_END_TIMEOUT_MS)
+  req.once('end', () => { respond(res, 413) })
+  req.once('close', () => { clearTimeout(timeout) })
+}
+
 function respond (res: ServerResponse, status: number): void {
   const text = status === 200 ? '{}' : ''
   res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': String(text.length) })
