--- a/standins/store/src/startStoreStandin.ts
+++ b/standins/store/src/startStoreStandin.ts
@@ -10,6 +10,8 @@
   readonly address: string
   /** Writes a row directly, as an operator does; `undefined` removes it. */
   readonly put: (table: string, key: string, value: unknown) => void
+  /** Writes a row with any bytes, as another writer may. */
+  readonly putText: (table: string, key: string, text: string) => void
   readonly listKeys: (table: string) => string[]
   readonly setFault: (fault: StoreFault) => void
   readonly dropHistory: () => void
@@ -58,16 +60,17 @@
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
 
+  const putRow = (rowKey: RowKey, text: string | undefined): void => {
+    const changes = text === undefined
+      ? { puts: [], deletes: [rowKey] }
+      : { puts: [{ ...rowKey, value: Buffer.from(text).toString('base64') }], deletes: [] }
+    dispatch({ type: 'transaction', callId: 0, expect: [], ...changes })
+  }
+
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    put: (table, key, value) => {
-      const rowKey: RowKey = { table, key }
-      const text = Buffer.from(JSON.stringify(value) ?? '').toString('base64')
-      const changes = value === undefined
-        ? { puts: [], deletes: [rowKey] }
-        : { puts: [{ ...rowKey, value: text }], deletes: [] }
-      dispatch({ type: 'transaction', callId: 0, expect: [], ...changes })
-    },
+    put: (table, key, value) => { putRow({ table, key }, value === undefined ? undefined : JSON.stringify(value)) },
+    putText: (table, key, text) => { putRow({ table, key }, text) },
     listKeys: (table) => [...state.rows.values()].filter((row) => row.table === table).map(({ key }) => key),
     setFault: (fault) => { dispatch({ type: 'faultSet', fault }) },
     dropHistory: () => { dispatch({ type: 'historyDropped' }) },
