Restore the store from a copy in the soak, and document the new era

Half of the runs restore the store from a copy of 0.3 to 6 s before; what the operator wrote is written again at once.

--- a/apps/soak/src/SoakAction.ts
+++ b/apps/soak/src/SoakAction.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'disturbStore', readonly node: NodeId, readonly mode: LinkMode }
   | { readonly kind: 'troubleStore', readonly fault: StoreFault }
   | { readonly kind: 'dropHistory' }
+  /** Takes a copy of the store, and restores it at the end of the action. What operators wrote is written again. */
+  | { readonly kind: 'restoreStore' }
   /** Resets all connections of the backend server; afterwards it restarts cold. */
   | { readonly kind: 'crashServer', readonly node: NodeId }
   /** Makes the backend server answer this share of its requests with errors. */
--- a/apps/soak/src/SoakEffect.ts
+++ b/apps/soak/src/SoakEffect.ts
@@ -15,6 +15,8 @@
   | { readonly type: 'setStoreLink', readonly node: NodeId, readonly mode: LinkMode }
   | { readonly type: 'setStoreFault', readonly fault: StoreFault | 'none' }
   | { readonly type: 'dropHistory' }
+  | { readonly type: 'copyStore' }
+  | { readonly type: 'restoreStore' }
   | { readonly type: 'setServer', readonly server: SoakServer }
   | { readonly type: 'writeConfiguration', readonly revision: number, readonly keys: readonly SoakKey[] }
   | { readonly type: 'writeEvacuation', readonly dataCentre: DataCentreId, readonly out: boolean }
--- a/apps/soak/src/SoakProtocol.ts
+++ b/apps/soak/src/SoakProtocol.ts
@@ -58,6 +58,12 @@
 
   abstract dropHistory (): void
 
+  /** Takes a copy of the store's content. */
+  abstract copyStore (): void
+
+  /** Replaces the store's content with the copy, but for what operators have written. */
+  abstract restoreStore (): void
+
   /** @returns the nodes whose member record is in the store */
   abstract listMembers (): NodeId[]
 
--- a/apps/soak/src/harness/SoakHarness.ts
+++ b/apps/soak/src/harness/SoakHarness.ts
@@ -181,6 +181,8 @@
       case 'setStoreLink': return this.getNode(effect.node).storeLink.setMode(effect.mode)
       case 'setStoreFault': return protocol.setStoreFault(effect.fault)
       case 'dropHistory': return protocol.dropHistory()
+      case 'copyStore': return protocol.copyStore()
+      case 'restoreStore': return protocol.restoreStore()
       case 'setServer': return this.getNode(effect.server.node).server.setState(effect.server)
       case 'writeConfiguration': return protocol.writeConfiguration(effect.revision, effect.keys)
       case 'writeEvacuation': return protocol.writeEvacuation(effect.dataCentre, effect.out)
--- a/apps/soak/src/makeSoakPlan.ts
+++ b/apps/soak/src/makeSoakPlan.ts
@@ -19,6 +19,12 @@
 /** Largest clock skew that the product must tolerate. */
 const MAX_CLOCK_STEP_MS = 5_000
 
+/** Probability that the store is restored from a copy in a run. */
+const RESTORE_CHANCE = 0.5
+
+/** Added to the seed of a run, so that restores leave the other actions of the seed as they are. */
+const RESTORE_SEED_OFFSET = 1_000_000
+
 /** @public */
 export interface SoakPlanOptions {
   readonly seed: number
@@ -64,10 +70,8 @@
  * @public
  */
 export function makeSoakPlan (options: SoakPlanOptions): PlannedAction[] {
-  const random = xoroshiro128plus(options.seed)
-  // The first outputs of the generator are correlated for consecutive seeds, so they are discarded.
-  for (let skipped = 0; skipped < 8; skipped++) uniformInt(random, 0, 1)
-  const plan: PlannedAction[] = []
+  const random = createRandom(options.seed)
+  const plan = planRestore(options)
   const count = uniformInt(random, ACTION_COUNT.min, ACTION_COUNT.max)
   for (let index = 0; index < count; index++) {
     const action = pickRandom(random, actionGenerators)(random, options)
@@ -81,6 +85,21 @@
   return plan.sort((left, right) => left.at - right.at)
 }
 
+function planRestore ({ seed, span }: SoakPlanOptions): PlannedAction[] {
+  const random = createRandom(seed + RESTORE_SEED_OFFSET)
+  if (uniformFloat64(random) >= RESTORE_CHANCE) return []
+  const at = millis(uniformInt(random, 0, span))
+  const duration = millis(uniformInt(random, DURATION_MS.min, DURATION_MS.max))
+  return [{ at, duration, action: { kind: 'restoreStore' } }]
+}
+
+function createRandom (seed: number): RandomGenerator {
+  const random = xoroshiro128plus(seed)
+  // The first outputs of the generator are correlated for consecutive seeds, so they are discarded.
+  for (let skipped = 0; skipped < 8; skipped++) uniformInt(random, 0, 1)
+  return random
+}
+
 function pickRandom<Item> (random: RandomGenerator, items: readonly Item[]): Item {
   return items[uniformInt(random, 0, items.length - 1)]!
 }
--- a/apps/soak/src/runAction.ts
+++ b/apps/soak/src/runAction.ts
@@ -30,6 +30,7 @@
     case 'disturbStore': return [{ type: 'setStoreLink', node: action.node, mode: action.mode }]
     case 'troubleStore': return [{ type: 'setStoreFault', fault: action.fault }]
     case 'dropHistory': return [{ type: 'dropHistory' }]
+    case 'restoreStore': return [{ type: 'copyStore' }]
     case 'crashServer': return setServer(state, action.node, { status: 'crashed' })
     case 'failServer': return setServer(state, action.node, { errorShare: action.share })
     case 'drainServer': return setServer(state, action.node, { status: 'draining' })
@@ -62,6 +63,7 @@
     case 'disturbForwards': return [{ type: 'setForwardLink', node: action.node, mode: 'pass' }]
     case 'disturbStore': return [{ type: 'setStoreLink', node: action.node, mode: 'pass' }]
     case 'troubleStore': return [{ type: 'setStoreFault', fault: 'none' }]
+    case 'restoreStore': return [{ type: 'restoreStore' }]
     case 'crashServer':
     case 'drainServer': return setServer(state, action.node, { status: 'ready', startedAt: state.now })
     case 'failServer': return setServer(state, action.node, { errorShare: 0 })
@@ -82,6 +84,7 @@
     case 'disturbForwards': return `forwards/${action.node}`
     case 'disturbStore': return `store/${action.node}`
     case 'troubleStore': return 'store'
+    case 'restoreStore': return 'copy'
     case 'crashServer':
     case 'drainServer': return `server/${action.node}`
     case 'failServer': return `errors/${action.node}`
--- a/standins/store/src/StoreState.ts
+++ b/standins/store/src/StoreState.ts
@@ -30,6 +30,7 @@
   readonly rows: ReadonlyMap<string, StoredRow>
   readonly history: readonly StoredChange[]
   readonly ver: number
+  readonly trimmedVer: number
 }
 
 /** A feed call that waits for changes of a table after a version. */
--- a/standins/store/src/reduceStore.ts
+++ b/standins/store/src/reduceStore.ts
@@ -21,7 +21,7 @@
   | { readonly type: 'faultSet', readonly fault: StoreFault }
   | { readonly type: 'historyDropped' }
   | { readonly type: 'copyTaken' }
-  | { readonly type: 'copyRestored' }
+  | { readonly type: 'copyRestored', readonly rewrittenTable?: string }
 
 /** Response to a call. A call without this effect stays open. */
 export interface StoreEffect {
@@ -48,11 +48,13 @@
       state.history.length = 0
       return []
     case 'copyTaken':
-      state.copy = { rows: new Map(state.rows), history: [...state.history], ver: state.ver }
+      state.copy = {
+        rows: new Map(state.rows), history: [...state.history], ver: state.ver, trimmedVer: state.trimmedVer
+      }
       return []
     case 'copyRestored':
-      if (state.copy !== undefined) restoreCopy(state, state.copy)
-      return []
+      if (state.copy !== undefined) restoreCopy(state, state.copy, event.rewrittenTable)
+      return answerWaiters(state)
     case 'waitOver': return endWait(state, event.callId)
   }
   if (state.fault === 'down') return [answer(event.callId, 503, {})]
@@ -74,6 +76,11 @@
   for (const { table, key, value } of event.puts) applyChange(state, { table, key, value, ver: state.ver })
   for (const { table, key } of event.deletes) applyChange(state, { table, key, ver: state.ver })
   const effects = state.fault === 'lost' ? [] : [answer(event.callId, 200, { ver: state.ver })]
+  return [...effects, ...answerWaiters(state)]
+}
+
+function answerWaiters (state: StoreState): StoreEffect[] {
+  const effects: StoreEffect[] = []
   for (const waiter of [...state.waiters.values()]) {
     const rows = listChanges(state, waiter.table, waiter.after)
     if (rows.length === 0) continue
@@ -101,13 +108,21 @@
   return []
 }
 
-/** Waiting calls go on, and are answered in the new era. */
-function restoreCopy (state: StoreState, { rows, history, ver }: StoreCopy): void {
+/**
+ * Waiting calls go on, and are answered in the new era. The rows of `rewrittenTable` are as they were, at new versions.
+ */
+function restoreCopy (state: StoreState, { rows, history, ver, trimmedVer }: StoreCopy, rewrittenTable?: string): void {
+  const written = [...state.rows.values()].filter(({ table }) => table === rewrittenTable)
   state.rows.clear()
   for (const [key, row] of rows) state.rows.set(key, row)
   state.history.splice(0, Infinity, ...history)
   state.ver = ver
+  state.trimmedVer = trimmedVer
   state.era += 1
+  const keys = new Set(written.map(toRowKey))
+  const dropped = [...rows.values()].filter((row) => row.table === rewrittenTable && !keys.has(toRowKey(row)))
+  for (const row of written) applyChange(state, { ...row, ver: ++state.ver })
+  for (const { table, key } of dropped) applyChange(state, { table, key, ver: ++state.ver })
 }
 
 function endWait (state: StoreState, callId: number): StoreEffect[] {
--- a/standins/store/src/startStoreStandin.ts
+++ b/standins/store/src/startStoreStandin.ts
@@ -17,8 +17,11 @@
   readonly dropHistory: () => void
   /** Takes a copy of the content. */
   readonly takeCopy: () => void
-  /** Replaces the content with the copy, which begins a new era. Versions that were lost are given out again. */
-  readonly restoreCopy: () => void
+  /**
+   * Replaces the content with the copy, which begins a new era. Versions that were lost are given out again. The rows
+   * of one table may be written again at once, as operators do.
+   */
+  readonly restoreCopy: (options?: { readonly rewrittenTable?: string }) => void
   readonly stop: () => void
 }
 
@@ -75,7 +78,7 @@
     setFault: (fault) => { dispatch({ type: 'faultSet', fault }) },
     dropHistory: () => { dispatch({ type: 'historyDropped' }) },
     takeCopy: () => { dispatch({ type: 'copyTaken' }) },
-    restoreCopy: () => { dispatch({ type: 'copyRestored' }) },
+    restoreCopy: ({ rewrittenTable } = {}) => { dispatch({ type: 'copyRestored', rewrittenTable }) },
     stop: () => {
       server.close()
       server.closeAllConnections()
