Do not give up a slow request for an attempt that cannot end in a planned stop

Cause: a repeatable request is sent to another server after 2.5 times the usual time of its route, if its deadline leaves room. The end of the process was not looked at, but the slot request for the new attempt does so: the running attempt was given up, and the new one refused. The times of the case fit to 10 ms (3.74 s after the start of the run; usual time 1.5 s, deadline 6 s, process ends 22.2 s).

Change: the switch needs room before the end of the process too.

--- a/packages/mesh/src/gateway/endAttempt.ts
+++ b/packages/mesh/src/gateway/endAttempt.ts
@@ -1,7 +1,8 @@
-import { millis, type NodeId, toId } from '@lavenderturn/types'
+import { type NodeId, toId } from '@lavenderturn/types'
 import { isAlive } from '../directory/isAlive'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
+import { findStopTime } from '../lifecycle/plannedStop'
 import { countCrashes } from '../quarantine/isQuarantined'
 import { dropCurrentAttempt, endRequest } from './endRequest'
 import type { AttemptEnded } from './GatewayEvent'
@@ -120,8 +121,9 @@
   const { currentAttempt: attempt } = request
   if (attempt === undefined) return []
   const usualMs = findRouteTime(state, request) ?? 0
-  // Continues the current attempt if there is no time left for another one.
-  if (millis(state.now + usualMs) > request.deadline) return []
+  // Continues the current attempt if there is no time left for another one, also before the process ends.
+  const latestEnd = Math.min(request.deadline, findStopTime(state) ?? request.deadline)
+  if (state.now + usualMs > latestEnd) return []
   if (!hasOtherServer(state, request, attempt.node)) return [scheduleSwitch(request, MIN_SWITCH_DELAY)]
   request.sentTo.add(attempt.node)
   if (!claimRepeat(state, request)) return []
--- a/packages/mesh/src/lifecycle/plannedStop.test.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.test.ts
@@ -9,6 +9,9 @@
 /** Requests that are sent later than this after the signal must not be cut, whatever they take. */
 const LATE_MS = 3_000
 
+/** From when on runs have the late service time. */
+const LATE_RUN_MS = 4_000
+
 const SUCCESS: WorkOutcome = { kind: 'answered', failed: false }
 
 const configuration = makeFleetConfiguration({
@@ -21,13 +24,21 @@
 interface Stop {
   readonly stopped?: readonly string[]
   readonly serviceMs?: number
+  /** Service time of first runs that begin in the last part of the grace period. */
+  readonly lateServiceMs?: number
   readonly seed?: number
 }
 
 /** Three nodes, some of which are stopped while their callers go on sending. */
-function runStop ({ stopped = ['node-1'], serviceMs = 1_500, seed = 1 }: Stop): MeshFleet {
-  const fleet = new MeshFleet({
-    configuration, slots: 40, seed, run: () => ({ outcome: SUCCESS, afterMs: serviceMs })
+function runStop ({ stopped = ['node-1'], serviceMs = 1_500, lateServiceMs = serviceMs, seed = 1 }: Stop): MeshFleet {
+  const fleet: MeshFleet = new MeshFleet({
+    configuration,
+    slots: 40,
+    seed,
+    run: ({ at, requestId }) => {
+      const isRepeat = fleet.runs.filter((run) => run.requestId === requestId).length > 1
+      return { outcome: SUCCESS, afterMs: at < LATE_RUN_MS || isRepeat ? serviceMs : lateServiceMs }
+    }
   })
   const kinds = [
     { name: 'lookup', path: '/lookup/', perSecond: 8 }, { name: 'order', path: '/order/', perSecond: 8 }
@@ -74,6 +85,17 @@
     expect(latest).toBeLessThanOrEqual(STOP_MS + GRACE_MS - 900)
   })
 
+  // Guards against a running request that is given up for another server, which it could not end at before the process.
+  it('does not give up a slow request for another attempt that could not end in time', () => {
+    const fleet = runStop({ serviceMs: 1_000, lateServiceMs: 2_800 })
+    const late = fleet.outcomes.filter(({ requestId }) => {
+      const at = fleet.arrivals.get(requestId)!
+      return at >= LATE_RUN_MS && at < LATE_RUN_MS + 600
+    })
+    expect(late.length).toBeGreaterThan(5)
+    expect(late.filter(({ result }) => result !== 'answered')).toEqual([])
+  })
+
   // Guards against callers that get a closed connection for a request that may have run.
   it('answers requests that are still running at the end of the grace period', () => {
     const fleet = runStop({ serviceMs: 8_000 })
