Switch to another server only if the next attempt would still wait for a slot

The switch and the slot request judged the time that is left by rules of their own: without a usual time of the route, which a change of the configuration may remove, one assumed 0 and the other 0.5 s. Both use findMaxWait now.

--- a/packages/mesh/src/gateway/endAttempt.ts
+++ b/packages/mesh/src/gateway/endAttempt.ts
@@ -2,7 +2,6 @@
 import { isAlive } from '../directory/isAlive'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { findStopTime } from '../lifecycle/plannedStop'
 import { countCrashes } from '../quarantine/isQuarantined'
 import { dropCurrentAttempt, endRequest } from './endRequest'
 import type { AttemptEnded } from './GatewayEvent'
@@ -12,7 +11,7 @@
 import { refuseRequest } from './refuseRequest'
 import { withdrawRetry } from './retryBudget'
 import { findRouteTime, recordRouteTime } from './routeTimes'
-import { listCandidates, requestSlot } from './requestSlot'
+import { findMaxWait, listCandidates, requestSlot } from './requestSlot'
 
 /**
  * Handles the outcome of an attempt as reported by the other node.
@@ -122,8 +121,7 @@
   if (attempt === undefined) return []
   const usualMs = findRouteTime(state, request) ?? 0
   // Continues the current attempt if there is no time left for another one, also before the process ends.
-  const latestEnd = Math.min(request.deadline, findStopTime(state) ?? request.deadline)
-  if (state.now + usualMs > latestEnd) return []
+  if (state.now + usualMs > request.deadline || findMaxWait(state, request) <= 0) return []
   if (!hasOtherServer(state, request, attempt.node)) return [scheduleSwitch(request, MIN_SWITCH_DELAY)]
   request.sentTo.add(attempt.node)
   if (!claimRepeat(state, request)) return []
--- a/packages/mesh/src/gateway/requestSlot.ts
+++ b/packages/mesh/src/gateway/requestSlot.ts
@@ -42,7 +42,13 @@
   return request.slotRequests.size > 0 ? [scheduleReplyCheck(request)] : scheduleNextRound(state, request)
 }
 
-function findMaxWait (state: MeshState, request: GatewayRequest): number {
+/**
+ * @param state - the node's state
+ * @param request - a request
+ * @returns how long it can wait for a slot and still end in time; 0 or less if it can no longer end
+ * @internal
+ */
+export function findMaxWait (state: MeshState, request: GatewayRequest): number {
   const total = request.deadline - request.arrivedAt
   const usualMs = findRouteTime(state, request) ?? DEFAULT_ROUTE_TIME_MS
   const latestStart = Math.max(request.deadline - usualMs, request.arrivedAt + total * MAX_WAIT_SHARE)
