--- a/packages/mesh/src/lifecycle/plannedStop.test.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.test.ts
@@ -96,6 +96,21 @@
     expect(late.filter(({ result }) => result !== 'answered')).toEqual([])
   })
 
+  // Guards against a running request that is given up although nothing is known of its route's usual time, so that no
+  // other attempt is started either.
+  it('does not give up the first request of a route for another attempt that could not end by its deadline', () => {
+    const routes = [{ pathPrefix: '/lookup/', repeatable: true, timeout: millis(1_600) }]
+    const fleet = new MeshFleet({
+      configuration: makeFleetConfiguration({ routes }), slots: 40, run: () => ({ outcome: SUCCESS, afterMs: 1_500 })
+    })
+    for (let index = 0; index < 6; index++) {
+      fleet.schedule(1_000 + index * 100, () => { fleet.request('node-1', `lookup-${index}`, { path: '/lookup/a' }) })
+    }
+    fleet.runUntil(5_000)
+    expect(fleet.outcomes).toHaveLength(6)
+    expect(fleet.outcomes.filter(({ result }) => result !== 'answered')).toEqual([])
+  })
+
   // Guards against callers that get a closed connection for a request that may have run.
   it('answers requests that are still running at the end of the grace period', () => {
     const fleet = runStop({ serviceMs: 8_000 })
