Case 4: an endpoint that becomes cold while it serves gets too much

Tried: an endpoint with 150 requests a second becomes cold for 3 s right after a heartbeat, and says so in the next one.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -314,9 +314,15 @@
     this.sockets.add(socket)
     socket.on('error', () => {})
     socket.on('close', () => { this.sockets.delete(socket) })
-    let received = Buffer.alloc(0)
+    let pieces = []
+    let size = 0
+    let needed = 0
     socket.on('data', (data) => {
-      received = Buffer.concat([received, data])
+      pieces.push(data)
+      size += data.length
+      if (size < needed) return
+      const received = Buffer.concat(pieces)
+      pieces = [received]
       const end = received.indexOf('\r\n\r\n')
       if (end < 0) return
       const [first, ...lines] = received.subarray(0, end).toString('latin1').split('\r\n')
@@ -324,9 +330,11 @@
         const colon = line.indexOf(':')
         return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()]
       }))
-      const length = Number(headers['content-length'] ?? 0)
-      if (received.length < end + 4 + length) return
-      received = received.subarray(end + 4 + length)
+      needed = end + 4 + Number(headers['content-length'] ?? 0)
+      if (size < needed) return
+      pieces = [received.subarray(needed)]
+      size -= needed
+      needed = 0
       const [method, path] = first.split(' ')
       void this.take(socket, { method, path, id: headers['x-request-id'] ?? '', headers })
     })
@@ -334,6 +342,10 @@
 
   async take (socket, request) {
     const { headers, id } = request
+    if (request.path === '/healthz') {
+      this.reply(socket, request, { status: this.state === 'ready' ? 200 : 503 })
+      return
+    }
     this.onArrival?.(request)
     if (socket.destroyed) return
     if (headers['x-expect-instance'] !== undefined && headers['x-expect-instance'] !== this.id) {
@@ -370,6 +382,7 @@
       ...notRun ? ['X-Not-Run: 1'] : ['X-Server-Stamp: stamp'],
       `X-Server-Load: ${this.running},${this.queue.length},${this.slots}`,
       `X-Instance-Id: ${this.id}`,
+      `X-Cold-Ms: ${this.coldRemainingMs}`,
       ...close ? ['Connection: close'] : ['Keep-Alive: timeout=10'],
       `Content-Length: ${body.length}`, '', body
     ].join('\r\n')
