--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,107 +1,74 @@
-// An endpoint becomes cold again while it serves, and says so in its next heartbeat. Until then it must not get more
-// than a cold endpoint bears.
+// A node is stopped as planned while the endpoints are busy. Its last requests run at endpoints of other machines.
 import { Client, Endpoint, Machine, makeConfiguration, pause, Store, Trial, waitUntilReady } from '../lib/harness.mjs'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-const COLD_PER_S = 51
-/** cold_per_s x cold_over + cold_slack */
-const MAX_PER_S = COLD_PER_S * 1.5 + 5
-const COLD_MS = 3_000
-/** A cold endpoint crashes at a rate well above `cold_per_s`, and above what the rule allows. */
-const CRASH_PER_S = 2 * COLD_PER_S
-/** All requests begin beside one of three endpoints, which together bear 243 a second while they are cold. */
-const REQUESTS_PER_S = 150
-const WORK_MS = 15
-const DOWN_MS = 3_000
+const GRACE_MS = 6_000
+/** In the last sixth of the grace a request may be broken off. */
+const EXCUSED_FROM_MS = GRACE_MS * 5 / 6
+/** The clients of a machine send nothing new after two missed readiness checks, which come once a second. */
+const CLIENTS_STOP_MS = 2_000
+const USUAL_WORK_MS = 570
+const LONG_WORK_MS = 2_400
+const DEADLINE_MS = 6_000
 
 const trial = new Trial(dirname(fileURLToPath(import.meta.url)))
 const store = new Store(trial)
 await store.start()
 store.put('op', 'config', makeConfiguration({
-  rules: [{ name: 'order', kind: 'unsafe', prefix: '/order/', service: 'orders' }],
-  services: [{ name: 'orders', coldPerS: COLD_PER_S }]
+  rules: [{ name: 'info', kind: 'safe', prefix: '/info/', service: 'info', timeout: `${DEADLINE_MS}ms` }],
+  services: [{ name: 'info' }, { name: 'front' }]
 }))
-const machines = ['a', 'b', 'c'].map((name) => {
-  return new Machine(trial, store, { name: `machine-${name}`, zone: `zone-${name}`, service: 'orders' })
-})
+const places = [['a', 'front'], ['b', 'info'], ['c', 'info']]
+const machines = places.map(([name, service]) => new Machine(trial, store, { name: `machine-${name}`, zone: 'zone-a', service }))
 for (const machine of machines) await machine.start()
 await waitUntilReady(trial, machines)
-const arrivals = []
-const endpoints = machines.map((machine, index) => {
-  return new Endpoint(trial, machine, { id: `endpoint-${machine.name}`, workMs: WORK_MS, onArrival: index === 0 ? arrive : undefined })
-})
-const [observed] = endpoints
+const workMs = ({ path }) => path === '/info/report' ? LONG_WORK_MS : USUAL_WORK_MS
+const endpoints = machines.slice(1).map((machine) => new Endpoint(trial, machine, { id: `endpoint-${machine.name}`, workMs }))
 for (const endpoint of endpoints) await endpoint.start()
-await pause(4_000)
+await pause(2_000)
 
-/** Requests that arrive at the observed endpoint. */
-function arrive ({ id }) {
-  const at = trial.now()
-  arrivals.push({ id, at })
-  if (at >= observed.coldUntil) return
-  const inLastSecond = arrivals.filter((other) => other.at > at - 1_000 && other.at >= observed.coldUntil - COLD_MS)
-  if (inLastSecond.length > CRASH_PER_S) crash()
-}
+const [stopped, ...others] = machines
+const startedAt = trial.now()
+const stopAt = startedAt + 8_000
+const endAt = stopAt + GRACE_MS
+const makeClients = (count, machine, name, path) => Array.from({ length: count }, (_, index) => {
+  return new Client(trial, machine, { name: `${name}${index}-`, path, deadlineMs: DEADLINE_MS })
+})
+const load = others.flatMap((machine, index) => makeClients(10, machine, `load${index}-`, '/info/x'))
+const short = makeClients(10, stopped, 'short', '/info/x')
+const long = makeClients(6, stopped, 'long', '/info/report')
+const watched = [...short, ...long]
+const running = [
+  ...load.map(async (client) => { await client.run({ untilMs: endAt, pauseMs: 20 }) }),
+  ...short.map(async (client) => { await client.run({ untilMs: stopAt + CLIENTS_STOP_MS, pauseMs: 20 }) }),
+  ...long.map(async (client, index) => {
+    await pause(stopAt + CLIENTS_STOP_MS - 150 * (index + 1) - trial.now())
+    await client.send()
+  })
+]
+await pause(stopAt - trial.now())
+if (trial.hasTrouble) stopped.kill('SIGTERM')
+await Promise.all(running)
 
-function crash () {
-  trial.note('endpoint crashed', { endpoint: observed.id })
-  observed.stop()
-  observed.runs.set('crash', [trial.now()])
+// When the last run of a request was cut.
+const cuts = new Map()
+for (const [id, cutAt] of endpoints.flatMap((endpoint) => [...endpoint.cuts])) {
+  cuts.set(id, Math.max(cutAt, cuts.get(id) ?? 0))
 }
-
-const clients = []
-const send = (untilMs) => new Promise((resolve) => {
-  const startedAt = trial.now()
-  let count = 0
-  const timer = setInterval(() => {
-    if (trial.now() >= untilMs) {
-      clearInterval(timer)
-      resolve()
-      return
-    }
-    for (; count < (trial.now() - startedAt) / 1_000 * REQUESTS_PER_S; count++) {
-      let client = clients.find(({ isIdle }) => isIdle)
-      if (client === undefined) {
-        client = new Client(trial, machines[0], { name: `c${clients.length}`, method: 'POST', path: '/order/x' })
-        clients.push(client)
-      }
-      client.isIdle = false
-      const current = client
-      void client.send().then(() => { current.isIdle = true })
-    }
-  }, 5)
+const results = watched.flatMap((client) => client.results)
+const brokenOff = results.filter(({ id, stamp, end, endedAt, sentAt }) => {
+  const cutAt = cuts.get(id)
+  const isWhole = end === 'answered' && stamp !== undefined
+  if (!trial.hasTrouble || isWhole || cutAt === undefined || endedAt - sentAt >= DEADLINE_MS) return false
+  return cutAt > stopAt && cutAt < stopAt + EXCUSED_FROM_MS
 })
-const sending = send(trial.now() + 9_000)
-await pause(3_500)
-let coldAt = Infinity
-if (trial.hasTrouble) {
-  // Right after a heartbeat: the next one tells.
-  const { sequence } = observed
-  while (observed.sequence === sequence) await pause(5)
-  await pause(50)
-  coldAt = trial.now()
-  observed.coldUntil = coldAt + COLD_MS
-  observed.workMs = 2 * WORK_MS
-  trial.note('endpoint becomes cold', { endpoint: observed.id, forMs: COLD_MS })
-  setTimeout(() => { observed.workMs = WORK_MS }, COLD_MS)
+for (const { id, status, endedAt } of brokenOff) {
+  const [cut, answered] = [cuts.get(id), endedAt].map((at) => `${Math.round(at - stopAt)}ms`)
+  trial.note('broken off', { request: id, status, cut, answered })
 }
-await sending
-await pause(DOWN_MS)
-
-const results = clients.flatMap((client) => client.results)
-const sentAt = new Map(results.map(({ id, sentAt: at }) => [id, at]))
-// Requests that were sent and arrived inside the second, while the endpoint was cold.
-const whileCold = arrivals.filter(({ at }) => at >= coldAt && at < coldAt + COLD_MS)
-const most = Math.max(0, ...whileCold.map(({ id: first }) => {
-  const begin = sentAt.get(first)
-  return whileCold.filter(({ id, at }) => sentAt.get(id) >= begin && at < begin + 1_000).length
-}))
 const counts = {}
 for (const { end, status = end } of results) counts[status] = (counts[status] ?? 0) + 1
-const busiest = Math.max(0, ...arrivals.map(({ at }) => {
-  return arrivals.filter((other) => other.at >= at && other.at < at + 1_000).length
-}))
-if ((counts[200] ?? 0) < 300) trial.finish(2, `too few answers: ${JSON.stringify(counts)}`)
-trial.finish(most > MAX_PER_S ? 1 : 0, `${most} requests in one second reached the cold endpoint, ${MAX_PER_S} are allowed; ` +
-  `${busiest} in its busiest second; crashed: ${observed.runs.has('crash')}; ${JSON.stringify(counts)}`)
+if ((counts[200] ?? 0) < 30) trial.finish(2, `too few answers: ${JSON.stringify(counts)}`)
+trial.finish(brokenOff.length > 0 ? 1 : 0, `${brokenOff.length} requests of the stopped node were broken off while their endpoints were at ` +
+  `work, and got an answer of its own; ${JSON.stringify(counts)}; runs cut ${cuts.size}`)
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -269,6 +269,8 @@
     Object.assign(this, { running: 0, queue: [], answers: 0, sequence: 0, born: Date.now(), state: 'ready', coldUntil: 0 })
     /** Requests that began to run, by id: when, and how often. */
     this.runs = new Map()
+    /** Requests that were dropped while they ran, by id: when. */
+    this.cuts = new Map()
     this.sockets = new Set()
   }
 
@@ -366,12 +368,33 @@
     this.running += 1
     this.runs.set(id, [...this.runs.get(id) ?? [], this.trial.now()])
     this.trial.note('run', { request: id, endpoint: this.id, tenant: headers['x-tenant'] ?? '-' })
-    await pause(this.workMs)
+    const isWhole = await this.work(socket, request)
     this.running -= 1
     this.queue.shift()?.()
+    if (!isWhole) {
+      this.cuts.set(id, this.trial.now())
+      this.trial.note('run cut', { request: id, endpoint: this.id })
+      return
+    }
     this.reply(socket, request, { status: 200 })
   }
 
+  /** @returns whether the work ended; it is dropped when its connection closes */
+  async work (socket, request) {
+    const workMs = typeof this.workMs === 'function' ? this.workMs(request) : this.workMs
+    return await new Promise((resolve) => {
+      const drop = () => {
+        clearTimeout(timer)
+        resolve(false)
+      }
+      const timer = setTimeout(() => {
+        socket.off('close', drop)
+        resolve(true)
+      }, workMs)
+      socket.once('close', drop)
+    })
+  }
+
   reply (socket, request, { status, notRun = false }) {
     if (socket.destroyed) return
     const body = `ran ${request.method} ${request.path}`
