--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -18,7 +18,7 @@
 await store.start()
 store.put('op', 'config', makeConfiguration({
   rules: [
-    { name: 'order', kind: 'unsafe', prefix: '/order/', service: 'orders' },
+    { name: 'order', kind: 'unsafe', prefix: '/order/', service: 'orders', timeout: '6s' },
     { name: 'info', kind: 'unsafe', prefix: '/info/', service: 'records' }
   ],
   services: [{ name: 'orders' }, { name: 'records' }]
@@ -46,7 +46,7 @@
   return new Client(trial, machines[0], { name: `a${index}`, method: 'POST', path: '/info/x' })
 })
 const others = Array.from({ length: 8 }, (_, index) => {
-  return new Client(trial, machines[index % 2], { name: `o${index}`, method: 'POST', path: '/order/x' })
+  return new Client(trial, machines[index % 2], { name: `o${index}`, method: 'POST', path: '/order/x', deadlineMs: 6_000 })
 })
 const untilMs = trial.now() + RUN_MS
 await Promise.all([...watched, ...others].map(async (client) => { await client.run({ untilMs, pauseMs: 50 }) }))
