End all requests of a connection when their caller closes it

A caller that sent several requests at once and left was served on: the node worked for the requests behind the first one until their deadlines, and (by reading) kept their exchanges open, so that a planned stop used its whole grace.

Cause: Node emits `close` only on the response that it is writing. The responses of the requests behind it never learn that the connection has gone.

Change: CallerConnections keeps the open responses of each connection and ends them with it.

Result: platform/pipelining.test.ts, "all end when their connection is closed", failed on (exchanges were still open after 10 s) and passes.

--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -12,6 +12,7 @@
 import type { CallerRequestFields, RequestProtocol } from '../protocol/RequestProtocol'
 import { BodyEvictedError, BodyTooLargeError, readBody } from '../readBody'
 import { writeResponse } from '../writeResponse'
+import { CallerConnections } from './CallerConnections'
 import type { GatewayHandler } from './GatewayHandler'
 
 /** Limits that apply until a configuration has been read. */
@@ -46,6 +47,7 @@
 export class CallerServer {
   readonly server: Server
   private readonly options: CallerServerOptions
+  private readonly connections = new CallerConnections()
   private nextRequestNumber = 0
   private closing = false
 
@@ -73,6 +75,7 @@
 
   private async receive (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = performance.now()
+    this.connections.add(res)
     const { runtime, budget, log } = this.options
     const share = budget.open()
     runtime.dispatch({ slice: 'gateway', type: 'exchangeOpened' })
