--- a/packages/mesh-runtime/src/body/SpooledBody.ts
+++ b/packages/mesh-runtime/src/body/SpooledBody.ts
@@ -9,6 +9,9 @@
 /** A body up to this size is written at once; larger ones as fast as the receiver takes them. */
 const MAX_SINGLE_WRITE_BYTES = 65_536
 
+/** Bytes that are handed to the connection at a time, so that it can write several pieces with one call. */
+const MAX_UNSENT_BYTES = 262_144
+
 /** @internal */
 export interface SpooledBodyOptions {
   readonly message: IncomingMessage
@@ -231,8 +234,8 @@
     while (!this.isBlocked && !this.isClosed && !this.isEnding) {
       const piece = next()
       if (piece === undefined) break
-      const hasRoom = res.write(piece, (err) => { if (err == null) onTaken(piece.length) })
-      if (!hasRoom) this.waitForDrain()
+      const isDrained = res.write(piece, (err) => { if (err == null) onTaken(piece.length) })
+      if (!isDrained && res.writableLength >= MAX_UNSENT_BYTES) this.waitForDrain()
     }
     this.isLast ||= isLast
     if (this.isLast && !this.isBlocked && !this.isClosed) this.end()
