Start where a deployment's rules need no bound

Every process of the two new deployments ended at its start (3400 bad setting bounds.coldOver): their contracts hold no rule on cold servers, so that the settings hold no figures for it, and all bounds were read unconditionally.

A bound that is absent or null now belongs to a rule that is not in force, with defaults that protect servers all the same. Tests: all 64 combinations of bounds, absent and null; the program with none of them.

--- a/packages/mesh-runtime/src/settings/readMeshSettings.test.ts
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.test.ts
@@ -44,6 +44,25 @@
     expect(read).toThrow(/^[^\n]+$/)
   })
 
+  // Guards against a node that does not start in a deployment whose rules do not need a bound.
+  it('takes every combination of bounds, absent or null', () => {
+    const all = { revoke: '5s', grace: '6s', coldOver: 1.5, coldSlack: 5, retryRatio: 0.2, retrySlack: 60 }
+    const names = Object.keys(all) as Array<keyof typeof all>
+    for (let mask = 0; mask < 2 ** names.length; mask++) {
+      for (const missing of [null, undefined]) {
+        const entries = names.map((name, index) => [name, (mask & 2 ** index) > 0 ? all[name] : missing])
+        const { bounds } = readMeshSettings(makeSettings({ bounds: Object.fromEntries(entries) }))
+        expect(Object.values(bounds).every((value) => typeof value === 'number' && value >= 0)).toBe(true)
+      }
+    }
+  })
+
+  // Guards against a bound that is taken for absent because it is wrong.
+  it('rejects a bound that is not a number', () => {
+    const bounds = { revoke: '5s', grace: '6s', coldOver: 'much' }
+    expect(() => readMeshSettings(makeSettings({ bounds }))).toThrow(/bounds.coldOver/)
+  })
+
   it('reports a file that is not JSON', () => {
     expect(() => readMeshSettings('nodeId = 1')).toThrow(/settings file.*JSON/)
   })
--- a/packages/mesh-runtime/src/settings/readMeshSettings.ts
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.ts
@@ -1,4 +1,4 @@
-import { type Bounds, DEFAULT_RESOURCES, type MachineResources, type MeshIdentity } from '@lavenderturn/mesh'
+import { type Bounds, DEFAULT_BOUNDS, DEFAULT_RESOURCES, type MachineResources, type MeshIdentity } from '@lavenderturn/mesh'
 import { SettingError } from '@lavenderturn/runtime'
 import { type Address, toId } from '@lavenderturn/types'
 import * as z from 'zod/mini'
@@ -47,12 +47,12 @@
   memoryMb: z._default(positiveNumber, DEFAULT_RESOURCES.memoryMb),
   maxDescriptors: z._default(positiveNumber, DEFAULT_RESOURCES.maxDescriptors),
   bounds: z.object({
-    revoke: durationSchema,
-    grace: durationSchema,
-    coldOver: nonNegativeNumber,
-    coldSlack: nonNegativeNumber,
-    retryRatio: nonNegativeNumber,
-    retrySlack: nonNegativeNumber
+    revoke: z.nullish(durationSchema),
+    grace: z.nullish(durationSchema),
+    coldOver: z.nullish(nonNegativeNumber),
+    coldSlack: z.nullish(nonNegativeNumber),
+    retryRatio: z.nullish(nonNegativeNumber),
+    retrySlack: z.nullish(nonNegativeNumber)
   })
 })
 
@@ -90,7 +90,22 @@
     storeAddress: toId(settings.storeAddress),
     logLevel: settings.logLevel,
     resources: { memoryMb: settings.memoryMb, maxDescriptors: settings.maxDescriptors },
-    bounds: { ...settings.bounds, announceInterval: settings.announceInterval }
+    bounds: { ...completeBounds(settings.bounds), announceInterval: settings.announceInterval }
+  }
+}
+
+/** A bound that is absent, or `null`, belongs to a rule that is not in force in the deployment. */
+function completeBounds (
+  bounds: { readonly [Name in keyof typeof DEFAULT_BOUNDS]?: typeof DEFAULT_BOUNDS[Name] | null }
+): typeof DEFAULT_BOUNDS {
+  const { revoke, grace, coldOver, coldSlack, retryRatio, retrySlack } = bounds
+  return {
+    revoke: revoke ?? DEFAULT_BOUNDS.revoke,
+    grace: grace ?? DEFAULT_BOUNDS.grace,
+    coldOver: coldOver ?? DEFAULT_BOUNDS.coldOver,
+    coldSlack: coldSlack ?? DEFAULT_BOUNDS.coldSlack,
+    retryRatio: retryRatio ?? DEFAULT_BOUNDS.retryRatio,
+    retrySlack: retrySlack ?? DEFAULT_BOUNDS.retrySlack
   }
 }
 
--- a/packages/mesh/src/Bounds.ts
+++ b/packages/mesh/src/Bounds.ts
@@ -1,4 +1,4 @@
-import type { Millis } from '@lavenderturn/types'
+import { type Millis, millis } from '@lavenderturn/types'
 
 /** Limits that the operators of a deployment configure. @public */
 export interface Bounds {
@@ -17,3 +17,19 @@
   /** Interval between the announcements of a backend server. */
   readonly announceInterval: Millis
 }
+
+/**
+ * Bounds of a deployment that names none of its own, because the rule is not in force there. Keys are then used as the
+ * latest configuration says, however old it is. What protects backend servers stays: a cold server gets its cold rate,
+ * and retries stay few.
+ *
+ * @public
+ */
+export const DEFAULT_BOUNDS: Omit<Bounds, 'announceInterval'> = {
+  revoke: millis(Number.POSITIVE_INFINITY),
+  grace: millis(6_000),
+  coldOver: 1,
+  coldSlack: 0,
+  retryRatio: 0.2,
+  retrySlack: 60
+}
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -9,7 +9,7 @@
 } from './admission/GrayFailureDetector'
 export type { ReservationId } from './admission/ReservationId'
 export { summarizeLoad } from './admission/summarizeLoad'
-export type { Bounds } from './Bounds'
+export { type Bounds, DEFAULT_BOUNDS } from './Bounds'
 export type { ConfigurationEffect } from './configuration/ConfigurationEffect'
 export type { Confirmation } from './configuration/ConfigurationState'
 export type {
