Split the decisions on memory by concept, and refuse uploads one by one where all would not help

One file for each of threshold, pause, eviction and collection; the share of a body at the runtime is BodyShare, since the state has a MemoryShare. Of waiting uploads, several are refused at once only if that makes room for the largest.

--- a/packages/mesh-runtime/src/body/SpooledBody.ts
+++ b/packages/mesh-runtime/src/body/SpooledBody.ts
@@ -2,7 +2,7 @@
 import { BodyBuffer, endResponse } from '@lavenderturn/runtime'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { MemoryHolder } from '../memory/MemoryHolder'
-import type { MemoryShare } from '../memory/MemoryAccount'
+import type { BodyShare } from '../memory/MemoryAccount'
 import { BodyEvictedError, BodyTooLargeError, IncompleteBodyError } from './bodyErrors'
 import { type BodyEnd, ResponseBody } from './ResponseBody'
 
@@ -16,7 +16,7 @@
 export interface SpooledBodyOptions {
   readonly message: IncomingMessage
   /** What the body holds of the node's memory; not counted by default. */
-  readonly share?: MemoryShare
+  readonly share?: BodyShare
   readonly maxBytes: number
   /** Limit of the pieces in which the body arrives, at least one for each chunk; unlimited by default. */
   readonly maxPieces?: number
--- a/packages/mesh-runtime/src/body/readBody.ts
+++ b/packages/mesh-runtime/src/body/readBody.ts
@@ -1,7 +1,7 @@
 import type { EvictionReason } from '@lavenderturn/mesh'
 import { BodyBuffer } from '@lavenderturn/runtime'
 import type { IncomingMessage } from 'node:http'
-import type { MemoryShare } from '../memory/MemoryAccount'
+import type { BodyShare } from '../memory/MemoryAccount'
 import { MemoryHolder } from '../memory/MemoryHolder'
 import { BodyEvictedError, BodyTooLargeError, IncompleteBodyError } from './bodyErrors'
 
@@ -9,7 +9,7 @@
 export interface ReadBodyOptions {
   readonly maxBytes: number
   /** What the body holds of the node's memory; the caller closes it when the body is no longer needed. */
-  readonly share?: MemoryShare
+  readonly share?: BodyShare
 }
 
 /**
--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { EvictionReason } from '@lavenderturn/mesh'
-import type { MemoryAccount, MemoryShare } from '../memory/MemoryAccount'
+import type { MemoryAccount, BodyShare } from '../memory/MemoryAccount'
 import { MemoryHolder } from '../memory/MemoryHolder'
 
 /** Requests of one connection that are handled at a time; further ones wait. */
@@ -47,7 +47,7 @@
   /** Responses that are not complete, whether their requests are handled or wait. */
   private readonly open = new Set<ServerResponse>()
   private readonly waiting: Array<() => void> = []
-  private readonly share: MemoryShare
+  private readonly share: BodyShare
   private handled = 0
 
   constructor (private readonly socket: Socket, private readonly options: CallerConnectionsOptions) {
--- a/packages/mesh-runtime/src/memory/MemoryAccount.ts
+++ b/packages/mesh-runtime/src/memory/MemoryAccount.ts
@@ -6,7 +6,7 @@
 import type { MemoryHolder } from './MemoryHolder'
 
 /** What a share is for, and who holds its bytes. @internal */
-export interface MemoryShareOptions {
+export interface BodyShareOptions {
   readonly purpose: MemoryPurpose
   /** First stage of the body. */
   readonly stage: ShareStage
@@ -32,8 +32,8 @@
    * @param options - what the share is for
    * @returns a share that holds nothing yet; it must be closed when nothing is held any more
    */
-  openShare (options: MemoryShareOptions): MemoryShare {
-    return new MemoryShare(this, options)
+  openShare (options: BodyShareOptions): BodyShare {
+    return new BodyShare(this, options)
   }
 
   override run (effect: MeshEffect): void {
@@ -69,7 +69,7 @@
    * @returns the id of the share
    * @internal
    */
-  register (holder: MemoryHolder, options: MemoryShareOptions & { readonly bytes: number }): ShareId {
+  register (holder: MemoryHolder, options: BodyShareOptions & { readonly bytes: number }): ShareId {
     const share = toId<ShareId>(`m${this.nextNumber++}`)
     this.holders.set(share, holder)
     const { purpose, stage, bytes, callerRequestId = '' } = options
@@ -115,14 +115,14 @@
 }
 
 /** What one body holds. Costs no event until it holds its first byte, which most requests never do. @internal */
-export class MemoryShare {
+export class BodyShare {
   /** Does what the account decides; set before the first bytes are held. */
   holder: MemoryHolder | undefined
   private id: ShareId | undefined
   private stage: ShareStage
   private isClosed = false
 
-  constructor (private readonly account: MemoryAccount, private readonly options: MemoryShareOptions) {
+  constructor (private readonly account: MemoryAccount, private readonly options: BodyShareOptions) {
     this.stage = options.stage
   }
 
--- a/packages/mesh/src/memory/reduceMemory.ts
+++ b/packages/mesh/src/memory/reduceMemory.ts
@@ -1,8 +1,11 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { addBytes, collectGarbage, evictExcess, pauseShare, removeShare, resumeShares } from './limitShares'
+import { collectGarbage } from './collectGarbage'
+import { evictExcess } from './evictShare'
 import type { MemoryEvent, ShareOpened } from './MemoryEvent'
+import { addBytes, removeShare } from './memoryShares'
 import type { MemoryShare } from './MemoryState'
+import { pauseShare, resumeShares } from './pauseShare'
 import { scheduleSweep, sweepShares } from './sweepShares'
 
 /**
--- a/packages/mesh/src/memory/sweepShares.ts
+++ b/packages/mesh/src/memory/sweepShares.ts
@@ -1,9 +1,12 @@
 import { toId } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { evictShare, findLargest, findThreshold, isReceiving, resumeShares } from './limitShares'
+import { evictShare } from './evictShare'
+import { findThreshold } from './findThreshold'
+import { findLargest, isReceiving } from './memoryShares'
 import type { MemoryShare, MemoryState } from './MemoryState'
 import { MAX_BODY_PAUSE, MIN_BYTES_PER_SECOND, PRESSURE_SHARE, SLOW_TIMEOUT, SWEEP_INTERVAL } from './memoryTimings'
+import { resumeShares } from './pauseShare'
 
 /** Share of the memory that is made free for the largest body of a request. */
 const MIN_ROOM_SHARE = 0.25
@@ -69,14 +72,23 @@
   if (largest.pausedSince === undefined) {
     return largest.slowSince === undefined ? [] : [...evictShare(state, largest, 'memory'), ...resumeShares(state)]
   }
+  return [...makeRoom(state, largest, waiting), ...resumeShares(state)]
+}
+
+function makeRoom (state: MeshState, largest: MemoryShare, waiting: readonly MemoryShare[]): MeshEffect[] {
+  const { memory } = state
+  const others = waiting.filter((share) => share !== largest).sort((left, right) => left.bytes - right.bytes)
+  const needed = Math.min(largest.bytes, memory.limitBytes * MIN_ROOM_SHARE)
+  const findRoom = (): number => findThreshold(memory, largest, largest) - largest.bytes
+  const held = others.reduce((sum, { bytes }) => sum + bytes, 0)
+  // If requests that are being served hold the memory, refusing all others would not help.
+  if (findRoom() + held < needed) return others.slice(0, 1).flatMap((share) => evictShare(state, share, 'memory'))
   const effects: MeshEffect[] = []
-  waiting.sort((left, right) => left.bytes - right.bytes)
-  for (const share of waiting) {
-    const room = findThreshold(memory, largest) - largest.bytes
-    if (room >= Math.min(largest.bytes, memory.limitBytes * MIN_ROOM_SHARE)) break
+  for (const share of others) {
+    if (findRoom() >= needed) break
     effects.push(...evictShare(state, share, 'memory'))
   }
-  return [...effects, ...resumeShares(state)]
+  return effects
 }
 
 function measureRate ({ now }: MeshState, share: MemoryShare): void {
