Answer 502 for a response that was given up while another attempt was made

A response with an error is held while another attempt is made. If it was given up meanwhile because memory was short, its head would have been written without the body that it announces. Found by reading; the test in MeshRuntime.test.ts got 500 without the change, 502 with it.

--- a/packages/mesh-runtime/src/MeshRuntime.test.ts
+++ b/packages/mesh-runtime/src/MeshRuntime.test.ts
@@ -1,7 +1,7 @@
 import { makeMeshIdentity, makeMeshState } from '@lavenderturn/fixtures/mesh'
-import type { MeshEffect } from '@lavenderturn/mesh'
+import type { MeshEffect, ReservationId } from '@lavenderturn/mesh'
 import { BodyBuffer, createLogger } from '@lavenderturn/runtime'
-import { toId } from '@lavenderturn/types'
+import { type RequestId, toId } from '@lavenderturn/types'
 import { once } from 'node:events'
 import { createServer, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -13,6 +13,7 @@
 import { GatewayHandler } from './gateway/GatewayHandler'
 import { MemoryAccount } from './memory/MemoryAccount'
 import { MeshEffectHandler, MeshRuntime } from './MeshRuntime'
+import type { Answer } from './protocol/RequestHead'
 
 const SLICES = ['announcement', 'configuration', 'directory', 'lifecycle', 'log', 'peer', 'timer'] as const
 
@@ -76,8 +77,15 @@
   return { res, response }
 }
 
-// Guards against a response that cannot be written, for example with an invalid status, and ends the process with it.
-it('a response that cannot be written ends its request with an unknown outcome', async () => {
+interface RelayFixture {
+  readonly gateway: GatewayHandler
+  readonly response: Promise<Response>
+  readonly effect: Extract<MeshEffect, { readonly type: 'relay' }>
+  readonly lines: readonly string[]
+}
+
+/** Makes the exchange of a caller whose answer is about to be relayed. */
+async function startRelay (answer: Answer): Promise<RelayFixture> {
   const runtime = startRuntime()
   const protocol = makeRequestProtocol()
   const lines: string[] = []
@@ -87,18 +95,24 @@
   const gateway = new GatewayHandler({ runtime, protocol, identity: makeMeshIdentity(), admission, account, log })
   closers.push(() => { gateway.stop() }, () => { admission.stop() })
   const { res, response } = await startExchange()
-  const reservation = toId<never>('r1')
+  const reservation = toId<ReservationId>('r1')
+  const requestId = toId<RequestId>('q1')
   gateway.registerExchange({
-    requestId: toId('q1'),
+    requestId,
     callerRequestId: 'c1',
     fingerprint: toId('f'),
     head: { method: 'GET', target: '/', headers: [] },
     body: new BodyBuffer(),
     res,
     attempts: new Map(),
-    responses: new Map([[reservation, { status: 0, headers: [], body: new TextBody('ran') }]])
+    responses: new Map([[reservation, answer]])
   })
-  const effect = { slice: 'gateway', type: 'relay', requestId: toId<never>('q1'), reservation } as const
+  return { gateway, response, effect: { slice: 'gateway', type: 'relay', requestId, reservation }, lines }
+}
+
+// Guards against a response that cannot be written, for example with an invalid status, and ends the process with it.
+it('a response that cannot be written ends its request with an unknown outcome', async () => {
+  const { gateway, response, effect, lines } = await startRelay({ status: 0, headers: [], body: new TextBody('ran') })
   expect(() => { gateway.run(effect) }).toThrow(RangeError)
   gateway.handleError(effect, new RangeError('invalid status'))
   const answer = await response
@@ -106,3 +120,13 @@
   expect(await readText(answer.body!)).toBe('outcomeUnknown')
   expect(lines.some((line) => line.includes('"request":"c1"') && line.includes('invalid status'))).toBe(true)
 })
+
+// Guards against a head without the body that it announces, after the body was given up because memory was short.
+it('a response that was given up ends its request with an unknown outcome', async () => {
+  const body = new TextBody('ran', { canSend: false })
+  const { gateway, response, effect } = await startRelay({ status: 500, headers: [], body })
+  gateway.run(effect)
+  const answer = await response
+  expect(answer.status).toBe(502)
+  expect(await readText(answer.body!)).toBe('outcomeUnknown')
+})
--- a/packages/mesh-runtime/src/gateway/GatewayHandler.ts
+++ b/packages/mesh-runtime/src/gateway/GatewayHandler.ts
@@ -123,6 +123,12 @@
   private relay (exchange: CallerExchange, reservation: ReservationId): void {
     const { callerRequestId, res, responses } = exchange
     const { status, headers, body } = responses.get(reservation)!
+    if (!body.canSend) {
+      // It was given up while another attempt was made, because memory was short.
+      discardAnswers(exchange)
+      this.refuse(exchange, 'outcomeUnknown')
+      return
+    }
     writeResponse(res, { status, headers, body })
     // A body that is being sent is freed afterwards.
     discardAnswers(exchange)
