--- a/packages/mesh/src/admission/admission.test.ts
+++ b/packages/mesh/src/admission/admission.test.ts
@@ -107,6 +107,24 @@
 })
 
 describe('slots', () => {
+  // Guards against a stopping node that crowds out requests which are more urgent than its own.
+  it('grants slots to gateways that stop before others, but not before more urgent requests', () => {
+    const state = makeMeshState()
+    announce(state, { slots: 1 })
+    ask(state, 'running')
+    start(state, 'running')
+    for (const id of ['first', 'second']) ask(state, id, { priority: 1 })
+    ask(state, 'less urgent', { priority: 2, senderStops: true })
+    ask(state, 'stopping', { priority: 1, senderStops: true })
+    ask(state, 'urgent', { priority: 0 })
+    const granted: string[] = []
+    for (let last = 'running'; granted.length < 5; last = granted.at(-1)!) {
+      granted.push(...verdicts(end(state, last, SUCCESS)).map((verdict) => verdict.replace(/ granted$/, '')))
+      start(state, granted.at(-1)!)
+    }
+    expect(granted).toEqual(['urgent', 'stopping', 'first', 'second', 'less urgent'])
+  })
+
   it('never grants more slots than the server has, and grants them by priority', () => {
     const state = makeMeshState()
     announce(state, { slots: 1 })
