--- a/packages/mesh-runtime/src/body/SpooledBody.ts
+++ b/packages/mesh-runtime/src/body/SpooledBody.ts
@@ -69,7 +69,7 @@
       }
     })
     this.whenEnded = new Promise((resolve) => { this.settleEnd = resolve })
-    // Nobody may be waiting any more.
+    // A rejection is not an unhandled one if the exchange no longer waits for the body.
     this.ready.catch(() => {})
     const { share } = options
     if (share !== undefined) share.holder = new SpoolHolder(this)
@@ -232,7 +232,7 @@
 
 /** Writes a body to a response, as fast as its connection takes it. */
 class BodyOutput {
-  isClosed = false
+  private isClosed = false
   private isBlocked = false
   private isEnding = false
   private isLast = false
--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -103,7 +103,7 @@
   }
 }
 
-/** Requests that wait take no more memory if the connection is not read, which Node does not offer for a parser. */
+/** Node cannot stop reading a connection whose requests wait, so that pausing has no effect; it can be closed. */
 class ConnectionHolder extends MemoryHolder {
   constructor (private readonly onEvicted: () => void) {
     super()
--- a/packages/mesh/src/memory/memoryTimings.ts
+++ b/packages/mesh/src/memory/memoryTimings.ts
@@ -6,7 +6,7 @@
  */
 export const THRESHOLD_FACTOR = 3
 
-/** The same for the body of a request, apart from the largest one. */
+/** The multiple for the body of a request; the largest one may use all that is free. */
 export const RECEIVING_FACTOR = 0.5
 
 /** While all other bodies together hold no more than this share of the memory, one body may use the rest. */
