Roll versions of a service out: canary, analysis, promotion, roll-back

Cause: no code read op/rollout/SERVICE.

Change: the slice rollout. A node that follows the store conducts a roll-out by conditional writes of its record and can be replaced at any moment. It gives absolute allowances to processes of new servers, collects the results of all servers by route, and tests the likelihood ratio of both versions. Servers get requests only as far as their node knows that their version may. In force only where the settings bound the exposure.

--- a/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationFollower.ts
@@ -116,7 +116,7 @@
       this.cursor = undefined
       return
     }
-    const { configuration, storedRevision, evacuated, unreadable } = reading
+    const { configuration, storedRevision, evacuated, rollouts, unreadable } = reading
     if (reading.cursor.era !== this.era) this.sourceClock.reset()
     this.era = reading.cursor.era
     const confirmed = this.sourceClock.estimateResponseTime(start, readClocks(), reading.storeTime)
@@ -128,6 +128,7 @@
       configuration,
       storedRevision,
       evacuated,
+      rollouts,
       unreadable,
       position: reading.cursor,
       confirmed
--- a/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
+++ b/packages/mesh-runtime/src/configuration/ConfigurationSource.ts
@@ -1,4 +1,4 @@
-import type { FleetConfiguration, StorePosition } from '@lavenderturn/mesh'
+import type { FleetConfiguration, RolloutOrder, StorePosition } from '@lavenderturn/mesh'
 import type { DataCentreId, Millis, Revision } from '@lavenderturn/types'
 
 /** The configuration in force, as read from a source. @public */
@@ -11,6 +11,8 @@
   readonly unreadable?: string
   /** Data centres that are taken out; absent if unchanged since the previous reading. */
   readonly evacuated?: ReadonlySet<DataCentreId>
+  /** Roll-outs that are ordered; absent if unchanged since the previous reading. */
+  readonly rollouts?: readonly RolloutOrder[]
   /** Position in the history, to pass to `follow`. Its version increases with each change within an era. */
   readonly cursor: StorePosition
   /** The source's steady clock when it responded; its origin is arbitrary. */
--- a/packages/mesh-runtime/src/createMeshNode.ts
+++ b/packages/mesh-runtime/src/createMeshNode.ts
@@ -13,6 +13,8 @@
 import type { ConfigurationSource } from './configuration/ConfigurationSource'
 import { DirectoryHandler } from './directory/DirectoryHandler'
 import type { MemberRegistry } from './directory/MemberRegistry'
+import { RolloutHandler } from './rollout/RolloutHandler'
+import type { RolloutRegistry } from './rollout/RolloutRegistry'
 import { CallerServer } from './gateway/CallerServer'
 import { GatewayHandler } from './gateway/GatewayHandler'
 import { LifecycleHandler } from './LifecycleHandler'
@@ -51,6 +53,8 @@
   readonly announcementProtocol: AnnouncementProtocol
   readonly configurationSource: ConfigurationSource
   readonly registry: MemberRegistry
+  /** Records of roll-outs; only needed if the bounds limit the exposure of new versions. */
+  readonly rolloutRegistry?: RolloutRegistry
   readonly log: ConsolaInstance
   /** Sink of the log, if it can drop lines; the metrics report how many it dropped. */
   readonly sink?: LogSink
@@ -116,6 +120,7 @@
     new DirectoryHandler({ runtime, node: identity.nodeId, registry: options.registry, log }),
     new LifecycleHandler({ callerServer, forwardServer, end: options.end }),
     new LogHandler(log),
+    new RolloutHandler({ runtime, registry: options.rolloutRegistry, log }),
     new TimerHandler(runtime)
   ]
   for (const handler of handlers) runtime.addHandler(handler)
--- a/packages/mesh-runtime/src/index.ts
+++ b/packages/mesh-runtime/src/index.ts
@@ -14,6 +14,7 @@
 export { LogSink, type LogSinkOptions } from './LogSink'
 export { MeshMetrics } from './metrics/MeshMetrics'
 export { SettingsWatcher, type SettingsWatcherOptions } from './settings/SettingsWatcher'
+export { RolloutRegistry, type RecordWrite } from './rollout/RolloutRegistry'
 export { StoreError } from './StoreError'
 export { addressSchema } from './addressSchema'
 export { durationSchema } from './settings/durationSchema'
--- a/packages/mesh-runtime/src/peers/PeerHandler.ts
+++ b/packages/mesh-runtime/src/peers/PeerHandler.ts
@@ -101,6 +101,8 @@
     case 'recalled': return { slice: 'gateway', type: 'attemptRecalled', message }
     case 'askToken': return { slice: 'quota', type: 'tokenAsked', message }
     case 'token': return { slice: 'gateway', type: 'tokenAnswered', message }
+    case 'rolloutStep': return { slice: 'rollout', type: 'stepReceived', message }
+    case 'rolloutEvidence': return { slice: 'rollout', type: 'evidenceReceived', message }
     case 'crash': return { slice: 'admission', type: 'crashReported', message }
   }
 }
--- a/packages/mesh-runtime/src/peers/peerCodec.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.ts
@@ -17,12 +17,18 @@
   askToken: ['grant', 'node', 'replyTo', 'team'],
   beat: ['node', 'boot', 'load', 'revision', 'leaving', 'hearsReceiver'],
   cancel: ['reservation'],
-  confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated', 'era'],
+  confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated', 'era', 'rollouts'],
   crash: ['fingerprint', 'endpoint', 'startedAt'],
   hello: ['node', 'boot', 'dataCentre', 'service', 'peerAddress', 'forwardAddress', 'wantsReply'],
   recall: ['reservation', 'replyTo'],
   recalled: ['reservation', 'attemptState'],
   release: ['reservation'],
+  rolloutEvidence: [
+    'node', 'boot', 'service', 'term', 'version', 'ready', 'dispatched', 'running', 'sentAt', 'routes'
+  ],
+  rolloutStep: [
+    'replyTo', 'service', 'to', 'duration', 'era', 'version', 'phase', 'term', 'step', 'allowance', 'echo'
+  ],
   slot: ['reservation', 'verdict', 'refusal', 'load'],
   started: ['reservation'],
   token: ['grant', 'granted', 'waitMs']
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -19,6 +19,19 @@
 
 const refusalSchema = z.enum(['closed', 'evacuated', 'suspect', 'wrongService', 'expired', 'full'])
 
+const phaseSchema = z.enum(['canary', 'promoting', 'completed', 'rolledBack'])
+
+const count = z.int().check(z.nonnegative())
+
+/** Counts by bucket of service time. */
+const buckets = z.array(count).check(z.maxLength(16))
+
+/** Service, version, duration, position of the order, phase, elapsed time, whether withdrawn, excluded versions. */
+const noticeSchema = z.tuple([
+  nonEmptyId, nonEmptyId, nonNegativeNumber, count, nonNegativeNumber, z.nullable(phaseSchema), z.number(), z.boolean(),
+  z.array(nonEmptyId)
+])
+
 /** Schema of peer messages. Datagrams that do not match are dropped and counted. @internal */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   z.object({
@@ -60,6 +73,33 @@
     load: loadSchema
   }),
   z.object({ kind: z.literal('release'), reservation: nonEmptyId }),
+  z.object({
+    kind: z.literal('rolloutEvidence'),
+    node: nonEmptyId,
+    boot: nonEmptyId,
+    service: nonEmptyId,
+    term: nonNegativeNumber,
+    version: nonEmptyId,
+    ready: z.boolean(),
+    dispatched: count,
+    running: count,
+    sentAt: nonNegativeNumber,
+    routes: z.array(z.tuple([nonEmptyId, count, buckets, buckets]))
+  }),
+  z.object({
+    kind: z.literal('rolloutStep'),
+    replyTo: addressSchema,
+    service: nonEmptyId,
+    to: nonEmptyId,
+    duration: nonNegativeNumber,
+    era: count,
+    version: nonNegativeNumber,
+    phase: phaseSchema,
+    term: nonNegativeNumber,
+    step: count,
+    allowance: nonNegativeNumber,
+    echo: nonNegativeNumber
+  }),
   z.object({ kind: z.literal('cancel'), reservation: nonEmptyId }),
   z.object({ kind: z.literal('started'), reservation: nonEmptyId }),
   z.object({ kind: z.literal('recall'), reservation: nonEmptyId, replyTo: addressSchema }),
@@ -79,7 +119,8 @@
     ageMs: nonNegativeNumber,
     evacuated: z.array(nonEmptyId),
     // Nodes of the previous version do not send it.
-    era: z._default(z.int().check(z.nonnegative()), 0)
+    era: z._default(z.int().check(z.nonnegative()), 0),
+    rollouts: z.optional(z.array(noticeSchema))
   }),
   z.object({ kind: z.literal('crash'), fingerprint: nonEmptyId, endpoint: nonEmptyId, startedAt: z.number() })
 ])
--- a/packages/mesh-runtime/src/settings/readMeshSettings.ts
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.ts
@@ -52,7 +52,10 @@
     coldOver: z.nullish(nonNegativeNumber),
     coldSlack: z.nullish(nonNegativeNumber),
     retryRatio: z.nullish(nonNegativeNumber),
-    retrySlack: z.nullish(nonNegativeNumber)
+    retrySlack: z.nullish(nonNegativeNumber),
+    exposeShare: z.nullish(nonNegativeNumber),
+    exposeSlack: z.nullish(nonNegativeNumber),
+    rollback: z.nullish(durationSchema)
   })
 })
 
@@ -94,21 +97,30 @@
   }
 }
 
+type BoundsOfRules = Omit<Bounds, 'announceInterval'>
+
 /** A bound that is absent, or `null`, belongs to a rule that is not in force in the deployment. */
 function completeBounds (
-  bounds: { readonly [Name in keyof typeof DEFAULT_BOUNDS]?: typeof DEFAULT_BOUNDS[Name] | null }
-): typeof DEFAULT_BOUNDS {
-  const { revoke, grace, coldOver, coldSlack, retryRatio, retrySlack } = bounds
+  bounds: { readonly [Name in keyof BoundsOfRules]?: BoundsOfRules[Name] | null }
+): BoundsOfRules {
+  const { revoke, grace, coldOver, coldSlack, retryRatio, retrySlack, exposeShare, exposeSlack, rollback } = bounds
   return {
     revoke: revoke ?? DEFAULT_BOUNDS.revoke,
     grace: grace ?? DEFAULT_BOUNDS.grace,
     coldOver: coldOver ?? DEFAULT_BOUNDS.coldOver,
     coldSlack: coldSlack ?? DEFAULT_BOUNDS.coldSlack,
     retryRatio: retryRatio ?? DEFAULT_BOUNDS.retryRatio,
-    retrySlack: retrySlack ?? DEFAULT_BOUNDS.retrySlack
+    retrySlack: retrySlack ?? DEFAULT_BOUNDS.retrySlack,
+    ...isPresent(exposeShare) && { exposeShare },
+    ...isPresent(exposeSlack) && { exposeSlack },
+    ...isPresent(rollback) && { rollback }
   }
 }
 
+function isPresent<Value> (value: Value | null | undefined): value is Value {
+  return value !== undefined && value !== null
+}
+
 function parseJson (content: string): unknown {
   try {
     return JSON.parse(content)
--- a/packages/mesh/src/Bounds.ts
+++ b/packages/mesh/src/Bounds.ts
@@ -14,6 +14,12 @@
   readonly retryRatio: number
   /** Retries beyond that share that all nodes together may send within one budget window. */
   readonly retrySlack: number
+  /** Share of a service's requests that a version may get before it is proven; absent without roll-outs. */
+  readonly exposeShare?: number
+  /** Requests that it may get on top of that share; absent without roll-outs. */
+  readonly exposeSlack?: number
+  /** Time within which a version that is known to be bad gets no requests; absent without roll-outs. */
+  readonly rollback?: Millis
   /** Interval between the announcements of a backend server. */
   readonly announceInterval: Millis
 }
--- a/packages/mesh/src/MeshEffect.ts
+++ b/packages/mesh/src/MeshEffect.ts
@@ -8,6 +8,7 @@
 import type { EventBody } from './MeshEvent'
 import type { MemoryEffect } from './memory/MemoryEffect'
 import type { PeerMessage } from './messages/PeerMessage'
+import type { RolloutEffect } from './rollout/RolloutEffect'
 
 /** Sends a datagram to a node, which may be this one. @public */
 export interface SendEffect {
@@ -36,5 +37,6 @@
   | LifecycleEffect
   | LogEffect
   | MemoryEffect
+  | RolloutEffect
   | SendEffect
   | TimerEffect<EventBody>
--- a/packages/mesh/src/MeshEvent.ts
+++ b/packages/mesh/src/MeshEvent.ts
@@ -6,6 +6,7 @@
 import type { LifecycleEvent } from './lifecycle/LifecycleEvent'
 import type { MemoryEvent } from './memory/MemoryEvent'
 import type { QuotaEvent } from './quota/QuotaEvent'
+import type { RolloutEvent } from './rollout/RolloutEvent'
 
 /** Fields of every event. @public */
 export interface EventBase {
@@ -24,6 +25,7 @@
   | LifecycleEvent
   | MemoryEvent
   | QuotaEvent
+  | RolloutEvent
 
 type DistributiveOmit<Union, Key extends PropertyKey> = Union extends unknown ? Omit<Union, Key> : never
 
--- a/packages/mesh/src/MeshState.ts
+++ b/packages/mesh/src/MeshState.ts
@@ -12,6 +12,7 @@
 import { createMeshPolicies, type MeshPolicies } from './MeshPolicies'
 import { createQuarantineState, type QuarantineState } from './quarantine/QuarantineState'
 import { createQuotaState, type QuotaState } from './quota/QuotaState'
+import { createRolloutState, type RolloutState } from './rollout/RolloutState'
 
 /** Identity and location of a node, fixed by its settings. @public */
 export interface MeshIdentity {
@@ -46,6 +47,7 @@
   readonly memory: MemoryState
   readonly quarantine: QuarantineState
   readonly quota: QuotaState
+  readonly rollout: RolloutState
 }
 
 /** @public */
@@ -83,6 +85,7 @@
     lifecycle: createLifecycleState(),
     memory: createMemoryState(bodyBytes ?? findResourceLimits(DEFAULT_RESOURCES).bodyBytes),
     quarantine: createQuarantineState(),
-    quota: createQuotaState()
+    quota: createQuotaState(),
+    rollout: createRolloutState()
   }
 }
--- a/packages/mesh/src/admission/AdmissionEvent.ts
+++ b/packages/mesh/src/admission/AdmissionEvent.ts
@@ -1,4 +1,4 @@
-import type { Address, EndpointId, Fingerprint, Millis, RouteId, ServiceId } from '@lavenderturn/types'
+import type { Address, EndpointId, Fingerprint, Millis, RouteId, ServerVersion, ServiceId } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
 import type { AskSlotMessage, CrashMessage } from '../messages/PeerMessage'
 import type { AnnouncementId } from './AnnouncementId'
@@ -14,6 +14,7 @@
   readonly endpoint: EndpointId
   readonly service: ServiceId
   readonly address: Address
+  readonly version: ServerVersion
   readonly slots: number
   readonly state: 'ready' | 'draining'
   /** Time of day in milliseconds at which this incarnation of the server started. */
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -1,4 +1,4 @@
-import { type Address, type EndpointId, type Fingerprint, type Millis, millis, type RouteId } from '@lavenderturn/types'
+import { type Address, type EndpointId, type Fingerprint, type Millis, millis, type RouteId, type ServerVersion } from '@lavenderturn/types'
 import type { AnnouncementId } from './AnnouncementId'
 import type { Departure } from './Departure'
 import { createGrayFailureState, type GrayFailureState } from './GrayFailureDetector'
@@ -8,6 +8,7 @@
 export interface LocalServer {
   readonly endpoint: EndpointId
   readonly address: Address
+  readonly version: ServerVersion
   slots: number
   state: 'ready' | 'draining' | 'gone'
   /**
@@ -62,6 +63,8 @@
   /** The server that runs it, as it was when the request was sent. */
   readonly server: LocalServer
   readonly startedAt: Millis
+  /** Whether the server was cold then. */
+  readonly isColdStart: boolean
   /** When the request's time is over. */
   readonly deadline: Millis
   /** Whether the request was sent to the server a second time, because its kept connection broke. */
--- a/packages/mesh/src/admission/endWork.ts
+++ b/packages/mesh/src/admission/endWork.ts
@@ -12,6 +12,7 @@
 import { rejectQueued } from './rejectQueued'
 import { canRepeatWork, repeatWork } from './repeatWork'
 import { reportCrash } from './reportCrash'
+import { recordVersionResult } from '../rollout/recordVersionResult'
 import { grantQueued } from './grantQueued'
 import { endSuspicion, startSuspicion } from './suspicion'
 
@@ -40,6 +41,7 @@
   recordBrokenRun(state, work, outcome)
   if (canRepeatWork(state, reservation, outcome)) return repeatWork(state, reservation)
   recordServiceTime(state, work, outcome)
+  recordVersionResult(state, reservation, { outcome, isCausedByCall: isCausedByCall(state) })
   const effects: MeshEffect[] = [
     { slice: 'timer', type: 'clear', id: toId(`overdue/${id}`) },
     logWorkEnd(state, reservation, outcome)
@@ -196,9 +198,11 @@
 
 /** Ignores an error right after a failed call of the server's own: the called service is at fault. */
 function observeServerError (state: MeshState): MeshEffect[] {
-  const { lastCallFailureAt } = state.admission
-  const isCausedByCall = lastCallFailureAt !== undefined && state.now - lastCallFailureAt < CALL_FAILURE_WINDOW
-  return isCausedByCall ? [] : recordResult(state, 'error')
+  return isCausedByCall(state) ? [] : recordResult(state, 'error')
+}
+
+function isCausedByCall ({ admission: { lastCallFailureAt }, now }: MeshState): boolean {
+  return lastCallFailureAt !== undefined && now - lastCallFailureAt < CALL_FAILURE_WINDOW
 }
 
 function recordResult (state: MeshState, evidence: 'success' | 'error'): MeshEffect[] {
--- a/packages/mesh/src/admission/findColdStartDelay.ts
+++ b/packages/mesh/src/admission/findColdStartDelay.ts
@@ -3,6 +3,7 @@
 import { COLD_WINDOW } from './admissionTimings'
 import { countReservations } from './countReservations'
 import { recordLimitedRequest } from './findLimitDelay'
+import { recordExposure } from '../rollout/recordVersionResult'
 
 /**
  * Requests per second that a cold server gets while the configuration does not tell its rate, because that part of it
@@ -83,4 +84,5 @@
   admission.lastDispatchAt = now
   admission.dispatchTimes.push(now)
   recordLimitedRequest(state)
+  recordExposure(state)
 }
--- a/packages/mesh/src/admission/grantQueued.ts
+++ b/packages/mesh/src/admission/grantQueued.ts
@@ -5,6 +5,7 @@
 import { GRANT_TIMEOUT, TRIAL_TIMEOUT } from './admissionTimings'
 import type { Reservation } from './AdmissionState'
 import { countReservations } from './countReservations'
+import { findVersionRoom } from '../rollout/findVersionRoom'
 import { findUnavailableReason } from './findUnavailableReason'
 import { findDispatchDelay } from './findDispatchDelay'
 import { isTrialAllowed } from './isTrialAllowed'
@@ -31,7 +32,8 @@
   const { slots: allSlots, isLimitKnown } = admission.server!
   const slots = isLimitKnown ? allSlots : Math.min(allSlots, MAX_WORK_WITHOUT_RESPONSE)
   let used = countReservations(admission, 'granted', 'running')
-  while (used < slots) {
+  let room = findVersionRoom(state) - countReservations(admission, 'granted')
+  while (used < slots && room > 0) {
     const next = findMostUrgent(state, effects)
     if (next === undefined) break
     const delay = findDispatchDelay(state)
@@ -41,6 +43,7 @@
     }
     effects.push(...grantSlot(state, next))
     used += 1
+    room -= 1
   }
   return effects
 }
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -120,10 +120,11 @@
 function startIncarnation (state: MeshState, announcement: Announcement): MeshEffect[] {
   const { admission, now } = state
   const effects = admission.server === undefined ? [] : reportCrash(state)
-  const { endpoint, address, slots, startedAt, seq, coldRemaining } = announcement
+  const { endpoint, address, version, slots, startedAt, seq, coldRemaining } = announcement
   admission.server = {
     endpoint,
     address,
+    version,
     slots,
     startedAt,
     seq,
@@ -137,7 +138,7 @@
   Object.assign(admission.grayFailure, createGrayFailureState())
   admission.suspicion = undefined
   admission.lastDisruptionAt = now
-  const fields = { endpoint, startedAt, seq, slots, state: announcement.state, coldMs: coldRemaining }
+  const fields = { endpoint, version, startedAt, seq, slots, state: announcement.state, coldMs: coldRemaining }
   effects.push({ slice: 'log', type: 'line', level: 'info', message: 'backend server announced', fields })
   if (announcement.state === 'ready') return effects.concat(grantQueued(state))
   return [...effects, ...recordDeparture(state, { endpoint, startedAt }), ...rejectQueued(state, 'closed')]
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -39,6 +39,7 @@
     fingerprint,
     server,
     startedAt: now,
+    isColdStart: now < server.coldUntil,
     deadline: addMillis(now, timeout),
     isRepeated: false
   }
--- a/packages/mesh/src/configuration/ConfigurationEvent.ts
+++ b/packages/mesh/src/configuration/ConfigurationEvent.ts
@@ -1,6 +1,7 @@
 import type { DataCentreId, Revision } from '@lavenderturn/types'
 import type { EventBase } from '../MeshEvent'
 import type { AskConfirmationMessage, ConfirmationMessage } from '../messages/PeerMessage'
+import type { RolloutOrder } from '../rollout/RolloutOrder'
 import type { Confirmation } from './ConfigurationState'
 import type { FleetConfiguration } from './FleetConfiguration'
 import type { StorePosition } from './StorePosition'
@@ -15,6 +16,8 @@
   readonly storedRevision?: Revision
   /** Absent if unchanged. */
   readonly evacuated?: ReadonlySet<DataCentreId>
+  /** Roll-outs that operators have ordered; absent if unchanged. */
+  readonly rollouts?: readonly RolloutOrder[]
   /** Why the newest configuration cannot be read; absent if it can. It then does not count as confirmed. */
   readonly unreadable?: string
   /** Where the store was at the reading; absent if unknown. */
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -9,6 +9,7 @@
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
 import { noteStoreEra } from './noteStoreEra'
 import type { OpenQuery } from './RelayState'
+import { applyNotices, listNotices } from '../rollout/relayRollouts'
 import { isEarlier } from './StorePosition'
 
 /**
@@ -22,6 +23,7 @@
 export function reportConfirmation (state: MeshState, { message }: ConfirmationAsked): MeshEffect[] {
   const { configuration, identity } = state
   if (configuration.current === undefined) return []
+  const rollouts = listNotices(state)
   const reply: ConfirmationMessage = {
     kind: 'confirmation',
     query: message.query,
@@ -31,7 +33,8 @@
     version: configuration.position.version,
     ageMs: Math.ceil(findConfirmationAge(state)),
     evacuated: [...configuration.evacuated],
-    era: configuration.position.era
+    era: configuration.position.era,
+    ...rollouts !== undefined && { rollouts }
   }
   return [{ slice: 'peer', type: 'send', to: message.replyTo, message: reply }]
 }
@@ -54,6 +57,7 @@
   relay.repliedAt = now
   recordReliability(state, message)
   const noted = noteStoreEra(state, message.era)
+  if (message.following && message.rollouts !== undefined) noted.push(...applyNotices(state, message.rollouts))
   const member = directory.members.get(message.node)
   const { current } = configuration
   if (current === undefined || message.revision > current.revision) {
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -4,6 +4,7 @@
 import type { ReservationId } from '../admission/ReservationId'
 import type { QueryId } from '../configuration/RelayState'
 import type { StoreEra } from '../configuration/StorePosition'
+import type { RolloutEvidenceMessage, RolloutNotice, RolloutStepMessage } from './RolloutMessage'
 
 /** Load and health of a backend server, as reported by its admission. @public */
 export interface LoadSummary {
@@ -176,6 +177,8 @@
   readonly evacuated: readonly DataCentreId[]
   /** Era of `version`. */
   readonly era: StoreEra
+  /** Roll-outs that the sender knows of; absent if it does not know all of them, or none can be ordered. */
+  readonly rollouts?: readonly RolloutNotice[]
 }
 
 /** Datagrams exchanged between nodes. @public */
@@ -191,6 +194,8 @@
   | RecalledMessage
   | RecallMessage
   | ReleaseMessage
+  | RolloutEvidenceMessage
+  | RolloutStepMessage
   | SlotMessage
   | StartedMessage
   | TokenMessage
--- a/packages/mesh/src/reduceMesh.ts
+++ b/packages/mesh/src/reduceMesh.ts
@@ -8,6 +8,7 @@
 import type { MeshEvent } from './MeshEvent'
 import type { MeshState } from './MeshState'
 import { reduceQuota } from './quota/reduceQuota'
+import { reduceRollout } from './rollout/reduceRollout'
 
 /**
  * Applies an event to the state of a node. Only this function changes the state. It does so in place, because copying
@@ -29,5 +30,6 @@
     case 'lifecycle': return reduceLifecycle(state, event)
     case 'memory': return reduceMemory(state, event)
     case 'quota': return reduceQuota(state, event)
+    case 'rollout': return reduceRollout(state, event)
   }
 }
--- /dev/null
+++ b/packages/mesh/src/rollout/adoptOrder.ts
@@ -0,0 +1,78 @@
+import { millis } from '@lavenderturn/types'
+import { isEarlier } from '../configuration/StorePosition'
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import { isFinal, isSameOrder, type RolloutOrder } from './RolloutOrder'
+import { createExposure, type Rollout } from './RolloutState'
+import { scheduleCheck } from './scheduleCheck'
+
+/**
+ * Takes note of an order.
+ *
+ * @param state - the node's state
+ * @param order - an order of the operators
+ * @returns effects
+ * @internal
+ */
+export function adoptOrder (state: MeshState, order: RolloutOrder): MeshEffect[] {
+  const { rollouts } = state.rollout
+  const existing = rollouts.get(order.service)
+  if (existing !== undefined) {
+    // The same version was ordered again while it is rolled out, or after the store was restored.
+    const isRepeated = existing.order.to === order.to && !isFinal(existing.phase)
+    if (isSameOrder(existing.order, order) || isRepeated) return resumeOrder(state, existing, order)
+    if (!isEarlier(existing.order.position, order.position)) return []
+  }
+  const excluded = new Set(existing?.excluded)
+  // A version that was not proven gets no requests because another one is rolled out instead.
+  if (existing !== undefined && existing.phase !== 'completed') excluded.add(existing.order.to)
+  excluded.delete(order.to)
+  rollouts.set(order.service, {
+    order,
+    phase: 'canary',
+    isPhaseKnown: false,
+    phaseSince: state.now,
+    orderedAt: state.now,
+    withdrawn: false,
+    excluded,
+    term: 0,
+    step: 0
+  })
+  state.rollout.conducts.delete(order.service)
+  if (order.service === state.identity.service) state.rollout.exposure = createExposure()
+  const { service, to, duration: durationMs, position: { version } } = order
+  const fields = { service, to, durationMs, version, replaces: existing?.order.to, excluded: [...excluded].join() }
+  return [
+    { slice: 'log', type: 'line', level: 'info', message: 'roll-out ordered', fields },
+    ...scheduleCheck(state, millis(0))
+  ]
+}
+
+function resumeOrder (state: MeshState, existing: Rollout, order: RolloutOrder): MeshEffect[] {
+  const { position } = order
+  if (isEarlier(existing.order.position, position)) existing.order = { ...existing.order, position }
+  existing.withdrawn = false
+  return isFinal(existing.phase) ? [] : scheduleCheck(state)
+}
+
+/**
+ * Applies all orders that the store holds.
+ *
+ * @param state - the node's state
+ * @param orders - the orders
+ * @returns effects
+ * @internal
+ */
+export function applyOrders (state: MeshState, orders: readonly RolloutOrder[]): MeshEffect[] {
+  const { rollout } = state
+  rollout.ordersKnown = true
+  const effects = orders.flatMap((order) => adoptOrder(state, order))
+  const ordered = new Set(orders.map(({ service }) => service))
+  for (const [service, existing] of rollout.rollouts) {
+    if (ordered.has(service) || existing.withdrawn || isFinal(existing.phase)) continue
+    existing.withdrawn = true
+    const fields = { service, to: existing.order.to }
+    effects.push({ slice: 'log', type: 'line', level: 'info', message: 'roll-out withdrawn', fields })
+  }
+  return effects
+}
--- /dev/null
+++ b/packages/mesh/src/rollout/applyPhase.ts
@@ -0,0 +1,53 @@
+import type { MeshEffect } from '../MeshEffect'
+import type { MeshState } from '../MeshState'
+import { rejectQueued } from '../admission/rejectQueued'
+import { findVersionRoom } from './findVersionRoom'
+import { isFinal, type RolloutPhase } from './RolloutOrder'
+import type { Rollout } from './RolloutState'
+
+/** A phase, and the conductor's step at which it was told. @internal */
+export interface PhaseNotice {
+  readonly phase: RolloutPhase
+  readonly term: number
+  readonly step: number
+}
+
+/**
+ * Takes note of the phase of a roll-out. The last phase is final. Before it a conductor may go back from `promoting` to
+ * `canary`, so the latest notice counts.
+ *
+ * @param state - the node's state
+ * @param rollout - the roll-out
+ * @param notice - the phase
+ * @returns effects
+ * @internal
+ */
+export function applyPhase (state: MeshState, rollout: Rollout, { phase, term, step }: PhaseNotice): MeshEffect[] {
+  if (isFinal(rollout.phase) && rollout.isPhaseKnown) return []
+  const isLater = term > rollout.term || (term === rollout.term && step >= rollout.step)
+  if (!isLater && !isFinal(phase)) return []
+  const previous = rollout.isPhaseKnown ? rollout.phase : undefined
+  rollout.term = term
+  rollout.step = step
+  rollout.isPhaseKnown = true
+  if (previous === phase) return []
+  rollout.phase = phase
+  rollout.phaseSince = state.now
+  const { service, to } = rollout.order
+  const fields = { service, to, phase, previous, own: state.admission.server?.version, term, step }
+  return [
+    { slice: 'log', type: 'line', level: 'info', message: 'roll-out phase', fields },
+    ...closeVersion(state)
+  ]
+}
+
+/**
+ * Rejects the queued reservations of a server whose version gets no more requests, so that their gateways ask others.
+ *
+ * @param state - the node's state
+ * @returns effects
+ * @internal
+ */
+export function closeVersion (state: MeshState): MeshEffect[] {
+  return findVersionRoom(state) > 0 ? [] : rejectQueued(state, 'closed')
+}
--- /dev/null
+++ b/packages/mesh/src/rollout/isServerReady.ts
@@ -0,0 +1,14 @@
+import { findServerFault } from '../admission/findUnavailableReason'
+import type { MeshState } from '../MeshState'
+
+/**
+ * @param state - the node's state
+ * @returns whether this instance's backend server accepts requests, apart from its version, and is neither cold nor
+ * suspect
+ * @internal
+ */
+export function isServerReady (state: MeshState): boolean {
+  const { admission: { grayFailure, server }, now, policies } = state
+  if (findServerFault(state) !== undefined || now < (server?.coldUntil ?? 0)) return false
+  return !policies.grayFailureDetector.isSuspect(grayFailure, now)
+}
--- /dev/null
+++ b/packages/mesh/src/rollout/rolloutTimings.ts
@@ -0,0 +1,46 @@
+import { millis } from '@lavenderturn/types'
+
+/** Interval at which a conductor sends its step to the nodes of the service, and decides. */
+export const CHECK_INTERVAL = millis(500)
+
+/** Interval at which a node that does not conduct a roll-out reads its record. */
+export const RECORD_READ_INTERVAL = millis(1_000)
+
+/** Interval at which a conductor writes its record if nothing in it changes, so that others see that it is running. */
+export const RECORD_WRITE_INTERVAL = millis(1_000)
+
+/** Shortest time between two writes of a record, because calls to the store are billed. */
+export const MIN_WRITE_INTERVAL = millis(700)
+
+/** Time without a response after which a write counts as failed. */
+export const WRITE_TIMEOUT = millis(2_000)
+
+/** Time without a change of the record after which another node conducts the roll-out. */
+export const TAKEOVER_TIMEOUT = millis(2_600)
+
+/** Age up to which the report of a node counts as current. */
+export const REPORT_VALIDITY = millis(1_600)
+
+/**
+ * Part of the bound for roll-backs for which an allowance holds after the node's report to which the conductor replied.
+ */
+export const LEASE_SHARE = 0.5
+
+/**
+ * Time for which the servers of other versions go on accepting requests beside those of a proven version, so that all
+ * gateways learn that the latter accept them.
+ */
+export const OVERLAP = millis(800)
+
+/** Time from the closing of the servers of other versions until the earliest completion. */
+export const MIN_CLOSED_TIME = millis(700)
+
+/** Parts of the duration of an order. */
+export const SCHEDULE = {
+  /** Faults may appear some time after the start of a version, so that it is not promoted earlier. */
+  earliestPromotion: 0.45,
+  /** When the version is rolled back if it is not proven. */
+  decision: 0.75,
+  /** When the roll-out is completed although other versions still run requests. */
+  completion: 0.92
+}
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -50,6 +50,8 @@
 export type FetchId = Branded<string, 'FetchId'>
 /** Identifies a run of a backend server process. It changes when the process restarts. @public */
 export type BootId = Branded<string, 'BootId'>
+/** Version of the software of a backend server. @public */
+export type ServerVersion = Branded<string, 'ServerVersion'>
 /** Identifies a timer that the reducer set. @public */
 export type TimerId = Branded<string, 'TimerId'>
 /** A network address of the form `host:port`. @public */
