--- a/packages/mesh/src/rollout/rollout.test.ts
+++ b/packages/mesh/src/rollout/rollout.test.ts
@@ -200,8 +200,8 @@
 })
 
 describe('the exposure of a version that is not proven', () => {
-  // Guards against allowances that add up to more than the bound when conductors follow on each other, nodes do not hear
-  // each other, or the store fails for some of them.
+  // Guards against allowances that add up to more than the bound when conductors follow on each other, nodes do not
+  // hear each other, or the store fails for some of them.
   it.each(Array.from({ length: 12 }, (_, index) => index + 1))('stays bounded under failures, seed %i', (seed) => {
     const random = (salt: number): number => (Math.sin(seed * 12.9898 + salt * 78.233) * 43_758.5453 % 1 + 1) % 1
     const cutFrom = 3_000 + random(1) * 6_000
