--- a/apps/ctl/src/client/ControlClient.ts
+++ b/apps/ctl/src/client/ControlClient.ts
@@ -74,6 +74,24 @@
   readonly teams: readonly TeamUsage[]
 }
 
+/** A roll-out of a version as one node of the mesh knows it. @public */
+export interface RolloutStatus {
+  readonly service: ServiceId
+  readonly to: string
+  /** Absent if the node does not know it. */
+  readonly phase?: 'canary' | 'promoting' | 'completed' | 'rolledBack'
+  readonly elapsedMs: number
+  readonly durationMs: number
+  readonly withdrawn: boolean
+  readonly excluded: readonly string[]
+  /** Present on nodes that follow the store. */
+  readonly record?: {
+    readonly conductor: string, readonly reason: string, readonly processes: number, readonly requests: number
+  }
+  /** Present on the conductor. */
+  readonly evidence?: string
+}
+
 /** Control API of one node. Each call fails with a `CallError` after the timeout at the latest. @public */
 export abstract class ControlClient {
   /**
@@ -91,6 +109,9 @@
   /** @returns the state of the fleet as the node sees it */
   abstract getStatus (): Promise<FleetStatus>
 
+  /** @returns the roll-outs that a node of the mesh knows of */
+  abstract getRollouts (): Promise<readonly RolloutStatus[]>
+
   /**
    * Queries the outcome of an `apply`.
    *
--- a/apps/ctl/src/client/HttpControlClient.ts
+++ b/apps/ctl/src/client/HttpControlClient.ts
@@ -2,10 +2,10 @@
 import { type Address, type Millis, resultCodes, type Revision, toId } from '@lavenderturn/types'
 import { request } from 'undici'
 import type { z } from 'zod'
-import { acceptedSchema, currentSchema, problemSchema, statusSchema, tokenSchema } from './responseSchemas'
+import { acceptedSchema, currentSchema, problemSchema, rolloutsSchema, statusSchema, tokenSchema } from './responseSchemas'
 import {
   type ApplyAnswer, type ApplyRequest, type ApplyToken, CallError, ControlClient, type CurrentDeclaration,
-  DEFAULT_TIMEOUT, type FleetStatus, type TokenAnswer
+  DEFAULT_TIMEOUT, type FleetStatus, type RolloutStatus, type TokenAnswer
 } from './ControlClient'
 
 /** Error codes of undici and Node.js for failures before any byte of the request is written. */
@@ -70,6 +70,12 @@
     return this.parseReply(statusSchema, await this.call({ method: 'GET', path: '/status' })) as unknown as FleetStatus
   }
 
+  /** {@inheritDoc ControlClient.getRollouts} */
+  async getRollouts (): Promise<readonly RolloutStatus[]> {
+    const { rollouts } = this.parseReply(rolloutsSchema, await this.call({ method: 'GET', path: '/rollouts' }))
+    return rollouts as unknown as RolloutStatus[]
+  }
+
   /** {@inheritDoc ControlClient.findByToken} */
   async findByToken (token: ApplyToken, base: Revision): Promise<TokenAnswer> {
     const query = new URLSearchParams({ token, base: String(base) })
--- a/apps/ctl/src/client/responseSchemas.ts
+++ b/apps/ctl/src/client/responseSchemas.ts
@@ -47,3 +47,20 @@
   })),
   teams: z.array(z.object({ id: z.string(), ratePerSecond: z.number(), usedPerSecond: z.number() }))
 })
+
+/** Response of `GET /rollouts` of a node of the mesh; unknown fields are dropped. @internal */
+export const rolloutsSchema = z.object({
+  rollouts: z.array(z.object({
+    service: z.string(),
+    to: z.string(),
+    phase: z.enum(['canary', 'promoting', 'completed', 'rolledBack']).optional(),
+    elapsedMs: z.number(),
+    durationMs: z.number(),
+    withdrawn: z.boolean(),
+    excluded: z.array(z.string()),
+    record: z.object({
+      conductor: z.string(), reason: z.string(), processes: z.int(), requests: z.int()
+    }).optional(),
+    evidence: z.string().optional()
+  }))
+})
--- a/apps/ctl/src/createCommands.ts
+++ b/apps/ctl/src/createCommands.ts
@@ -1,10 +1,11 @@
 import { millis, toId } from '@lavenderturn/types'
-import { command, restPositionals, subcommands, string } from 'cmd-ts'
+import { command, positional, restPositionals, subcommands, string } from 'cmd-ts'
 import type { ControlClient } from './client/ControlClient'
 import { apply } from './commands/apply'
 import { diff } from './commands/diff'
 import { get } from './commands/get'
 import { createKey, hashInput } from './commands/key'
+import { rolloutStatus } from './commands/rolloutStatus'
 import { status } from './commands/status'
 import { validate } from './commands/validate'
 import { createOption, createSwitch, jsonSwitch } from './createFlags'
@@ -40,6 +41,7 @@
       apply: createApply(dependencies),
       get: createQueryCommand(dependencies, { name: 'get', description: 'Print the declaration in force', run: get }),
       status: createQueryCommand(dependencies, { name: 'status', description: 'Print members, endpoints and team usage', run: status }),
+      rollout: createRolloutCommands(dependencies),
       key: createKeyCommands(dependencies)
     }
   })
@@ -116,6 +118,26 @@
   })
 }
 
+function createRolloutCommands (dependencies: CtlDependencies) {
+  return subcommands({
+    name: 'rollout',
+    description: 'Show the roll-out of a version',
+    cmds: {
+      status: command({
+        name: 'status',
+        description: 'Print the step of a roll-out, its evidence and the reason; --node is a metrics port of the mesh',
+        args: {
+          service: positional({ type: string, displayName: 'SERVICE', description: 'Service whose version is rolled out' }),
+          ...nodeOptions
+        },
+        handler: async ({ service, node, timeout, json }): Promise<CommandResult> => {
+          return { output: await rolloutStatus(createClient(dependencies, { node, timeout }), service), json }
+        }
+      })
+    }
+  })
+}
+
 function createKeyCommands ({ randomBytes, readInput }: CtlDependencies) {
   return subcommands({
     name: 'key',
--- a/apps/ctl/src/runCtl.test.ts
+++ b/apps/ctl/src/runCtl.test.ts
@@ -7,6 +7,7 @@
 import { stripVTControlCharacters } from 'node:util'
 import { afterAll, afterEach, describe, expect, it, vi } from 'vitest'
 import { stringify } from 'yaml'
+import type { RolloutStatus } from './client/ControlClient'
 import { type Fault, FakeControlClient } from './fixtures/FakeControlClient'
 import { makeFleetStatus, makeMemberStatus } from './fixtures/makeFleetStatus'
 import { makeDependencies } from './fixtures/makeDependencies'
@@ -34,6 +35,21 @@
   return new FakeControlClient({ declaration: makeDeclaration(), status: makeFleetStatus({ members }), faults })
 }
 
+function makeRolloutClient (): FakeControlClient {
+  const rollout: RolloutStatus = {
+    service: toId('stock'),
+    to: 'v2',
+    phase: 'canary',
+    elapsedMs: 6_200,
+    durationMs: 14_000,
+    withdrawn: false,
+    excluded: ['v1-rc'],
+    record: { conductor: 'node-b', reason: 'ordered', processes: 5, requests: 37 },
+    evidence: 'undecided: /search/: 1 of 22 bad at 5 servers, against 3 of 140'
+  }
+  return new FakeControlClient({ declaration: makeDeclaration(), rollouts: [rollout] })
+}
+
 interface Run { readonly text: string, readonly code: number }
 
 async function run (args: readonly string[], options: Parameters<typeof makeDependencies>[0] = {}): Promise<Run> {
@@ -69,6 +85,9 @@
     ['get', ['get', ...NODE], { client: makeClient() }],
     ['status', ['status', ...NODE], { client: makeClient() }],
     ['status-unreachable', ['status', ...NODE], { client: makeClient(['notSent']) }],
+    ['rollout-status', ['rollout', 'status', 'stock', ...NODE], { client: makeRolloutClient() }],
+    ['rollout-status-json', ['rollout', 'status', 'stock', ...NODE, '--json'], { client: makeRolloutClient() }],
+    ['rollout-status-none', ['rollout', 'status', 'media', ...NODE], { client: makeRolloutClient() }],
     ['key-new', ['key', 'new']],
     ['key-hash', ['key', 'hash'], { input: 'a-key\n' }],
     ['key-hash-json', ['key', 'hash', '--json'], { input: 'a-key' }]
--- a/apps/ctl/src/settings.ts
+++ b/apps/ctl/src/settings.ts
@@ -23,7 +23,7 @@
     flag: 'node',
     environment: 'LAVENDERTURN_NODE',
     description: 'Admin port of any node',
-    commands: ['diff', 'apply', 'get', 'status'],
+    commands: ['diff', 'apply', 'get', 'status', 'rollout status'],
     required: true,
     value: { name: 'HOST:PORT', pattern: /^[^\s/@]+:[1-9][0-9]{0,4}$/, rule: 'must be HOST:PORT' }
   },
@@ -59,7 +59,7 @@
     flag: 'timeout-ms',
     environment: 'LAVENDERTURN_TIMEOUT_MS',
     description: 'Timeout of each call to the node',
-    commands: ['diff', 'apply', 'get', 'status'],
+    commands: ['diff', 'apply', 'get', 'status', 'rollout status'],
     default: String(DEFAULT_TIMEOUT),
     value: duration
   },
@@ -67,7 +67,7 @@
     flag: 'json',
     environment: 'LAVENDERTURN_JSON',
     description: 'Print JSON for programs',
-    commands: ['validate', 'diff', 'apply', 'get', 'status', 'key new', 'key hash']
+    commands: ['validate', 'diff', 'apply', 'get', 'status', 'rollout status', 'key new', 'key hash']
   }
 } as const satisfies Record<string, Setting>
 
--- a/packages/mesh-runtime/src/metrics/createMetricsServer.ts
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -1,4 +1,4 @@
-import type { MemoryPurpose } from '@lavenderturn/mesh'
+import { describeRollouts, type MemoryPurpose } from '@lavenderturn/mesh'
 import type { ConsolaInstance } from 'consola'
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import type { LogSink } from '../LogSink'
@@ -9,6 +9,9 @@
 
 export const METRICS_PATH = '/metrics'
 
+/** Path of the roll-outs that the node knows of, as JSON. */
+export const ROLLOUTS_PATH = '/rollouts'
+
 /** @internal */
 export interface MetricsServerOptions {
   readonly runtime: MeshRuntime
@@ -19,8 +22,8 @@
 }
 
 /**
- * Creates the HTTP server for metrics in the Prometheus text format. It runs on the event loop of the node and responds
- * even while requests are refused for overload.
+ * Creates the HTTP server for metrics in the Prometheus text format, and for the state of roll-outs. It runs on the
+ * event loop of the node and responds even while requests are refused for overload.
  *
  * @param options - sources of the metrics
  * @returns the server, not listening
@@ -28,6 +31,11 @@
  */
 export function createMetricsServer (options: MetricsServerOptions): Server {
   return createServer((req, res) => {
+    if (req.url === ROLLOUTS_PATH) {
+      const content = JSON.stringify({ rollouts: options.runtime.query(describeRollouts) })
+      res.writeHead(200, { 'content-type': 'application/json' }).end(content)
+      return
+    }
     if (req.url !== METRICS_PATH) {
       res.writeHead(404, { 'content-length': '0' }).end()
       return
--- a/packages/mesh-runtime/src/peers/peerCodec.test.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -28,6 +28,48 @@
     ageMs: 40,
     evacuated: [toId('dc-a')]
   },
+  {
+    kind: 'confirmation',
+    query: toId('q'),
+    node: toId('node-1'),
+    following: true,
+    revision: toId(4),
+    version: 90,
+    era: toId(2),
+    ageMs: 40,
+    evacuated: [],
+    rollouts: [
+      [toId('stock'), toId('v2'), 14_000, toId(2), 81, 'rolledBack', 9_000, false, [toId('v1')]],
+      [toId('media'), toId('v3'), 12_000, toId(2), 85, null, 300, true, []]
+    ]
+  },
+  {
+    kind: 'rolloutEvidence',
+    node: toId('node-1'),
+    boot: 'b',
+    service: toId('stock'),
+    term: 2_000_000_000_091,
+    version: toId('v2'),
+    ready: true,
+    dispatched: 12,
+    running: 2,
+    sentAt: 4_300,
+    routes: [[toId('search'), 1, [0, 3, 4], [1]], [toId('detail'), 0, [], []]]
+  },
+  {
+    kind: 'rolloutStep',
+    replyTo: toId('10.0.0.1:7'),
+    service: toId('stock'),
+    to: toId('v2'),
+    duration: toId(14_000),
+    era: toId(2),
+    version: 81,
+    phase: 'canary',
+    term: 2_000_000_000_091,
+    step: 4,
+    allowance: 16,
+    echo: 3_800
+  },
   { kind: 'crash', fingerprint: toId('f'), endpoint: toId('server-1'), startedAt: 12 },
   {
     kind: 'hello',
--- a/packages/mesh-runtime/src/settings/readMeshSettings.test.ts
+++ b/packages/mesh-runtime/src/settings/readMeshSettings.test.ts
@@ -46,7 +46,17 @@
 
   // Guards against a node that does not start in a deployment whose rules do not need a bound.
   it('takes every combination of bounds, absent or null', () => {
-    const all = { revoke: '5s', grace: '6s', coldOver: 1.5, coldSlack: 5, retryRatio: 0.2, retrySlack: 60 }
+    const all = {
+      revoke: '5s',
+      grace: '6s',
+      coldOver: 1.5,
+      coldSlack: 5,
+      retryRatio: 0.2,
+      retrySlack: 60,
+      exposeShare: 0.1,
+      exposeSlack: 50,
+      rollback: '5s'
+    }
     const names = Object.keys(all) as Array<keyof typeof all>
     for (let mask = 0; mask < 2 ** names.length; mask++) {
       for (const missing of [null, undefined]) {
@@ -57,6 +67,13 @@
     }
   })
 
+  // Guards against a version that is opened at once because its bounds are lost on the way.
+  it('passes the bounds of roll-outs on, and none that are absent', () => {
+    const bounds = { exposeShare: 0.1, exposeSlack: 50, rollback: '5s' }
+    expect(readMeshSettings(makeSettings({ bounds })).bounds).toMatchObject({ ...bounds, rollback: 5_000 })
+    expect(readMeshSettings(makeSettings()).bounds).not.toHaveProperty('exposeShare')
+  })
+
   // Guards against a bound that is taken for absent because it is wrong.
   it('rejects a bound that is not a number', () => {
     const bounds = { revoke: '5s', grace: '6s', coldOver: 'much' }
--- a/packages/mesh/src/rollout/RolloutState.ts
+++ b/packages/mesh/src/rollout/RolloutState.ts
@@ -74,6 +74,8 @@
   readonly reports: Map<NodeId, NodeReport[]>
   /** Requests passed on by processes that have ended. */
   readonly endedDispatches: Map<string, number>
+  /** What the last judgement rests on, for operators. */
+  evidence?: string
   /** When the first request reached the version. */
   canarySince?: Millis
   loggedAt: Millis
--- a/packages/mesh/src/rollout/decidePhase.ts
+++ b/packages/mesh/src/rollout/decidePhase.ts
@@ -37,6 +37,7 @@
   const { now } = state
   const judgement = judge(state, rollout, conduct)
   const elapsedMs = now - rollout.orderedAt
+  conduct.evidence = `${judgement.verdict}: ${judgement.detail}`
   const decision = rollout.withdrawn
     ? { phase: 'rolledBack', reason: 'withdrawn by operators' } as const
     : findDecision(state, rollout, { conduct, judgement, elapsedMs })
--- a/standins/store/src/startStoreStandin.ts
+++ b/standins/store/src/startStoreStandin.ts
@@ -13,6 +13,8 @@
   /** Writes a row with any bytes, as another writer may. */
   readonly putText: (table: string, key: string, text: string) => void
   readonly listKeys: (table: string) => string[]
+  /** Reads a row as JSON; `undefined` if there is none. */
+  readonly get: (table: string, key: string) => unknown
   readonly setFault: (fault: StoreFault) => void
   readonly dropHistory: () => void
   /** Takes a copy of the content. */
@@ -75,6 +77,10 @@
     put: (table, key, value) => { putRow({ table, key }, value === undefined ? undefined : JSON.stringify(value)) },
     putText: (table, key, text) => { putRow({ table, key }, text) },
     listKeys: (table) => [...state.rows.values()].filter((row) => row.table === table).map(({ key }) => key),
+    get: (table, key) => {
+      const row = [...state.rows.values()].find((row) => row.table === table && row.key === key)
+      return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString()) as unknown
+    },
     setFault: (fault) => { dispatch({ type: 'faultSet', fault }) },
     dropHistory: () => { dispatch({ type: 'historyDropped' }) },
     takeCopy: () => { dispatch({ type: 'copyTaken' }) },
