Roll versions out in the soak, and expect some bad results of any version

Cause: the soak knew no roll-outs. Change: an action that orders a version for three of five servers, good or bad, beside the plans of the seeds that exist; a check of the exposure; the share of bad results of the old version is taken as 3 in 100 at least. Result: tests of the soak and of the roll-outs pass; the soak itself is run by hand beside this.

--- a/apps/soak/src/SoakAction.ts
+++ b/apps/soak/src/SoakAction.ts
@@ -33,6 +33,8 @@
   /** Withdraws the key in use and issues a new one. */
   | { readonly kind: 'withdrawKey' }
   | { readonly kind: 'evacuate', readonly dataCentre: DataCentreId }
+  /** Orders a version, to which some servers are restarted; it answers this share of its requests with errors. */
+  | { readonly kind: 'rollOut', readonly nodes: readonly NodeId[], readonly errorShare: number }
 
 /** An action and when it takes place. @public */
 export interface PlannedAction {
--- a/apps/soak/src/SoakEffect.ts
+++ b/apps/soak/src/SoakEffect.ts
@@ -20,6 +20,9 @@
   | { readonly type: 'setServer', readonly server: SoakServer }
   | { readonly type: 'writeConfiguration', readonly revision: number, readonly keys: readonly SoakKey[] }
   | { readonly type: 'writeEvacuation', readonly dataCentre: DataCentreId, readonly out: boolean }
+  /** Writes the order of a version, or takes it back if there is none. */
+  | { readonly type: 'writeRollOut', readonly version?: string }
+  | { readonly type: 'readRollOut' }
   | { readonly type: 'sendRequest', readonly request: SoakRequest }
   | { readonly type: 'after', readonly delay: Millis, readonly event: SoakEventBody }
   | { readonly type: 'finish' }
--- a/apps/soak/src/SoakEvent.ts
+++ b/apps/soak/src/SoakEvent.ts
@@ -15,6 +15,8 @@
   | { readonly type: 'drainAcknowledged', readonly node: NodeId }
   | { readonly type: 'nodeExited', readonly node: NodeId, readonly code: number | null, readonly signal: string | null }
   | { readonly type: 'restartDue', readonly node: NodeId }
+  /** The status of a roll-out was read; absent if there is none. */
+  | { readonly type: 'rollOutRead', readonly status?: string }
   | { readonly type: 'recoveryEnded' }
   | { readonly type: 'verificationEnded' }
 
--- a/apps/soak/src/SoakProtocol.ts
+++ b/apps/soak/src/SoakProtocol.ts
@@ -54,6 +54,16 @@
 
   abstract writeEvacuation (dataCentre: DataCentreId, out: boolean): void
 
+  /**
+   * Writes the order of a roll-out.
+   *
+   * @param version - the version; the order is taken back if absent
+   */
+  abstract writeRollOut (version: string | undefined): void
+
+  /** @returns the status that the system reports for the roll-out: `completed`, `rolledBack`, or another one */
+  abstract readRollOut (): string | undefined
+
   abstract setStoreFault (fault: 'none' | 'down' | 'silent' | 'lost'): void
 
   abstract dropHistory (): void
--- a/apps/soak/src/SoakState.ts
+++ b/apps/soak/src/SoakState.ts
@@ -28,6 +28,9 @@
   status: 'ready' | 'draining' | 'crashed'
   /** Share of requests that are answered with an error. */
   errorShare: number
+  /** Software version, and the share of errors that is its own. */
+  version: string
+  versionErrorShare: number
   /** Time of the last start; the server announces itself as cold for `COLD_TIME` after it. */
   startedAt: Millis
   /** Time at which the node beside it acknowledged the drain. */
@@ -57,6 +60,13 @@
 /** Phases of a run; `faults` includes the recovery, and `verification` requires that all requests succeed. @public */
 export type SoakPhase = 'starting' | 'faults' | 'verification' | 'done'
 
+/** A roll-out that operators have ordered. @public */
+export interface SoakRollOut {
+  readonly version: string
+  readonly errorShare: number
+  readonly nodes: readonly NodeId[]
+}
+
 /** State of the soak reducer. @public */
 export interface SoakState {
   readonly plan: readonly PlannedAction[]
@@ -71,6 +81,8 @@
   /** Revision of the last configuration that the operator wrote. */
   revision: number
   readonly evacuated: Map<DataCentreId, Millis>
+  /** The latest roll-out; kept after its end. */
+  rollOut?: SoakRollOut
   /** Intervals in which the store, or the link of a node to it, was disturbed. */
   readonly storeDisturbances: Array<{ readonly from: Millis, to: Millis }>
   /** Number of active actions per affected resource; the last one to end reverts the fault. */
@@ -85,6 +97,9 @@
 /** Team that sends far more requests than its rate allows. @public */
 export const GREEDY_TEAM: TeamId = toId('greedy')
 
+/** Software version of all servers at the start. @public */
+export const FIRST_VERSION = 'v1'
+
 /** @public */
 export interface SoakStateOptions {
   readonly plan: readonly PlannedAction[]
@@ -103,7 +118,7 @@
     now: millis(0),
     nodes: new Map(nodes.map(({ id, dataCentre }) => [id, { id, dataCentre, status: 'gone', disturbances: [] }])),
     servers: new Map(nodes.map(({ id }) => {
-      return [id, { node: id, status: 'ready', errorShare: 0, startedAt: millis(0) }]
+      return [id, { node: id, status: 'ready', errorShare: 0, version: FIRST_VERSION, versionErrorShare: 0, startedAt: millis(0) }]
     })),
     requests: new Map(),
     keys: [{ text: 'steady-key-1', team: STEADY_TEAM }, { text: 'greedy-key', team: GREEDY_TEAM }],
--- a/apps/soak/src/checks/checks.test.ts
+++ b/apps/soak/src/checks/checks.test.ts
@@ -11,6 +11,7 @@
 import { RefusalAccuracy } from './RefusalAccuracy'
 import { ResponseDeadlines } from './ResponseDeadlines'
 import { ResponseIntegrity } from './ResponseIntegrity'
+import { VersionExposure } from './VersionExposure'
 import { WithdrawnKeys } from './WithdrawnKeys'
 
 const node = toId<NodeId>('node-1')
@@ -45,6 +46,23 @@
     expect(check.checkEvent(state, started(request, 4_500))).toEqual([])
   })
 
+  it('detect a bad version that gets more requests than its bound, or is completed', () => {
+    const state = makeSoakState()
+    state.rollOut = { version: 'v2', errorShare: 0.5, nodes: [node] }
+    Object.assign(state.plan, [{ at: 0, duration: 1_000, action: { kind: 'rollOut', nodes: [node], errorShare: 0.5 } }])
+    state.servers.get(node)!.version = 'v2'
+    const request = addSoakRequest(state)
+    const check = new VersionExposure()
+    check.checkEvent(state, { type: 'actionDue', index: 0, at: millis(1) })
+    for (let run = 0; run < 33; run++) check.checkEvent(state, started(request, 10 + run))
+    const read = (status: string) => ({ type: 'rollOutRead', status, at: millis(900) }) as const
+    expect(check.checkEvent(state, read('rolledBack'))).toEqual([])
+    expect(check.checkEvent(state, read('completed'))).toHaveLength(1)
+    check.checkEvent(state, { type: 'actionDue', index: 0, at: millis(901) })
+    for (let run = 0; run < 10; run++) check.checkEvent(state, started(request, 910 + run))
+    expect(check.checkEvent(state, read('rolledBack'))).toHaveLength(1)
+  })
+
   it('detect requests at a draining server and in an evacuated data centre', () => {
     const state = makeSoakState()
     const request = addSoakRequest(state)
--- a/apps/soak/src/checks/createChecks.ts
+++ b/apps/soak/src/checks/createChecks.ts
@@ -8,6 +8,7 @@
 import { RefusalAccuracy } from './RefusalAccuracy'
 import { ResponseDeadlines } from './ResponseDeadlines'
 import { ResponseIntegrity } from './ResponseIntegrity'
+import { VersionExposure } from './VersionExposure'
 import { WithdrawnKeys } from './WithdrawnKeys'
 
 /**
@@ -25,6 +26,7 @@
     new Recovery(),
     new RefusalAccuracy(),
     new ResponseIntegrity(),
+    new VersionExposure(),
     new WithdrawnKeys()
   ]
 }
--- a/apps/soak/src/harness/SoakHarness.ts
+++ b/apps/soak/src/harness/SoakHarness.ts
@@ -186,6 +186,8 @@
       case 'setServer': return this.getNode(effect.server.node).server.setState(effect.server)
       case 'writeConfiguration': return protocol.writeConfiguration(effect.revision, effect.keys)
       case 'writeEvacuation': return protocol.writeEvacuation(effect.dataCentre, effect.out)
+      case 'writeRollOut': return protocol.writeRollOut(effect.version)
+      case 'readRollOut': return this.loop.enqueue({ type: 'rollOutRead', status: protocol.readRollOut() })
       case 'sendRequest': {
         void this.send(effect)
         return
--- a/apps/soak/src/makeNodeSettings.ts
+++ b/apps/soak/src/makeNodeSettings.ts
@@ -42,7 +42,10 @@
       coldOver: BOUNDS.coldOver,
       coldSlack: BOUNDS.coldSlack,
       retryRatio: 0.2,
-      retrySlack: 60
+      retrySlack: 60,
+      exposeShare: BOUNDS.exposeShare,
+      exposeSlack: BOUNDS.exposeSlack,
+      rollback: `${BOUNDS.rollbackMs}ms`
     }
   }
 }
--- a/apps/soak/src/makeSoakPlan.ts
+++ b/apps/soak/src/makeSoakPlan.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import type { PlannedAction, SoakAction } from './SoakAction'
+import { ROLL_OUT_SPAN } from './soakTimings'
 
 /** Number of actions in a run; a series counts as one. */
 const ACTION_COUNT = { min: 6, max: 10 }
@@ -25,6 +26,17 @@
 /** Added to the seed of a run, so that restores leave the other actions of the seed as they are. */
 const RESTORE_SEED_OFFSET = 1_000_000
 
+/** Probability that a version is rolled out in a run, and that it is bad. */
+const ROLL_OUT_CHANCE = 0.5
+const BAD_VERSION_CHANCE = 0.6
+const BAD_VERSION_ERRORS = 0.5
+
+/** Roll-outs take longer than other actions and begin early. */
+const MAX_ROLL_OUT_START_MS = 3_000
+
+/** Added to the seed of a run, so that roll-outs leave the other actions of the seed as they are. */
+const ROLL_OUT_SEED_OFFSET = 2_000_000
+
 /** @public */
 export interface SoakPlanOptions {
   readonly seed: number
@@ -71,7 +83,7 @@
  */
 export function makeSoakPlan (options: SoakPlanOptions): PlannedAction[] {
   const random = createRandom(options.seed)
-  const plan = planRestore(options)
+  const plan = [...planRestore(options), ...planRollOut(options)]
   const count = uniformInt(random, ACTION_COUNT.min, ACTION_COUNT.max)
   for (let index = 0; index < count; index++) {
     const action = pickRandom(random, actionGenerators)(random, options)
@@ -93,6 +105,16 @@
   return [{ at, duration, action: { kind: 'restoreStore' } }]
 }
 
+/** Rolls a version out to a good half of the servers. */
+function planRollOut ({ seed, nodes }: SoakPlanOptions): PlannedAction[] {
+  const random = createRandom(seed + ROLL_OUT_SEED_OFFSET)
+  if (uniformFloat64(random) >= ROLL_OUT_CHANCE) return []
+  const errorShare = uniformFloat64(random) < BAD_VERSION_CHANCE ? BAD_VERSION_ERRORS : 0
+  const at = millis(uniformInt(random, 0, MAX_ROLL_OUT_START_MS))
+  const updated = nodes.filter((_, index) => index % 2 === 0)
+  return [{ at, duration: ROLL_OUT_SPAN, action: { kind: 'rollOut', nodes: updated, errorShare } }]
+}
+
 function createRandom (seed: number): RandomGenerator {
   const random = xoroshiro128plus(seed)
   // The first outputs of the generator are correlated for consecutive seeds, so they are discarded.
--- a/apps/soak/src/reduceSoak.ts
+++ b/apps/soak/src/reduceSoak.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis, type NodeId, toId } from '@lavenderturn/types'
-import { revertAction, startAction } from './runAction'
+import { endRollOut, revertAction, startAction } from './runAction'
 import type { PlannedAction } from './SoakAction'
 import type { SoakEffect } from './SoakEffect'
 import type { SoakEvent } from './SoakEvent'
@@ -45,6 +45,7 @@
     case 'drainAcknowledged':
       state.servers.get(event.node)!.drainedAt = event.at
       return []
+    case 'rollOutRead': return endRollOut(state, event.status)
     case 'nodeExited': return scheduleRestart(state, event.node)
     case 'restartDue': return startNode(state, event.node)
     case 'recoveryEnded':
@@ -70,7 +71,8 @@
 
 /** The store rejects the writes of the operator while it has a fault, so these actions are retried later. */
 function isBlockedByStoreFault ({ activeFaults }: SoakState, { action: { kind } }: PlannedAction): boolean {
-  return (kind === 'withdrawKey' || kind === 'evacuate') && (activeFaults.get('store') ?? 0) > 0
+  const isOperatorCall = kind === 'withdrawKey' || kind === 'evacuate' || kind === 'rollOut'
+  return isOperatorCall && (activeFaults.get('store') ?? 0) > 0
 }
 
 function sendNextRequest (state: SoakState, greedy: boolean): SoakEffect[] {
--- a/apps/soak/src/runAction.ts
+++ b/apps/soak/src/runAction.ts
@@ -1,9 +1,12 @@
 import { type Millis, millis, type NodeId } from '@lavenderturn/types'
 import type { PlannedAction, SoakAction } from './SoakAction'
 import type { SoakEffect } from './SoakEffect'
-import { type SoakServer, type SoakState, STEADY_TEAM } from './SoakState'
+import { FIRST_VERSION, type SoakServer, type SoakState, STEADY_TEAM } from './SoakState'
 import { BOUNDS } from './soakTimings'
 
+/** Version that is rolled out. */
+const NEW_VERSION = 'v2'
+
 /** Longest time for a graceful stop and a restart, during which requests to the node may be disturbed. */
 const STOP_SPAN = millis(BOUNDS.graceMs + 2_000)
 
@@ -38,6 +41,7 @@
     case 'evacuate':
       state.evacuated.set(action.dataCentre, state.now)
       return [{ type: 'writeEvacuation', dataCentre: action.dataCentre, out: true }]
+    case 'rollOut': return startRollOut(state, action)
   }
 }
 
@@ -70,6 +74,7 @@
     case 'evacuate':
       state.evacuated.delete(action.dataCentre)
       return [{ type: 'writeEvacuation', dataCentre: action.dataCentre, out: false }]
+    case 'rollOut': return [{ type: 'readRollOut' }]
     default: return []
   }
 }
@@ -89,6 +94,7 @@
     case 'drainServer': return `server/${action.node}`
     case 'failServer': return `errors/${action.node}`
     case 'evacuate': return `evacuated/${action.dataCentre}`
+    case 'rollOut': return 'rollOut'
     default: return undefined
   }
 }
@@ -138,6 +144,34 @@
   return [{ type: 'setServer', server: { ...server } }]
 }
 
+function startRollOut (
+  state: SoakState,
+  { nodes, errorShare }: Extract<SoakAction, { readonly kind: 'rollOut' }>
+): SoakEffect[] {
+  const version = NEW_VERSION
+  state.rollOut = { version, errorShare, nodes }
+  const change = { version, versionErrorShare: errorShare, startedAt: state.now }
+  return [{ type: 'writeRollOut', version }, ...nodes.flatMap((node) => setServer(state, node, change))]
+}
+
+/**
+ * Ends a roll-out as its status says. After `completed` the servers of the other version are replaced at once, without
+ * draining; otherwise the order is taken back and the new servers are replaced.
+ *
+ * @param state - the state
+ * @param status - the status that the system reports
+ * @returns effects
+ * @internal
+ */
+export function endRollOut (state: SoakState, status: string | undefined): SoakEffect[] {
+  const isCompleted = status === 'completed'
+  const version = isCompleted ? NEW_VERSION : FIRST_VERSION
+  const replaced = [...state.servers.values()].filter((server) => server.version !== version)
+  const change = { version, versionErrorShare: isCompleted ? state.rollOut!.errorShare : 0, startedAt: state.now }
+  const effects = replaced.flatMap(({ node }) => setServer(state, node, change))
+  return isCompleted ? effects : [{ type: 'writeRollOut' }, ...effects]
+}
+
 function withdrawKey (state: SoakState): SoakEffect[] {
   for (const key of state.keys) if (key.team === STEADY_TEAM) key.withdrawnAt ??= state.now
   state.revision += 1
--- a/apps/soak/src/soakTimings.ts
+++ b/apps/soak/src/soakTimings.ts
@@ -21,6 +21,10 @@
 /** Interval between requests of the greedy team; gives three times its rate. */
 export const GREEDY_INTERVAL = millis(33)
 
+/** Time that operators give a roll-out, and the time after which they look at its status. */
+export const ROLL_OUT_TIME = millis(12_000)
+export const ROLL_OUT_SPAN = millis(13_500)
+
 /** Deadline of the callers for a response. */
 export const CALLER_TIMEOUT = millis(2_000)
 
@@ -34,7 +38,15 @@
 
 /** Time limits and tolerances: some are passed to the nodes in their settings, and the checks use them. */
 export const BOUNDS = {
-  revokeMs: 5_000, graceMs: 6_000, drainMs: 2_000, evacuationMs: 5_000, coldOver: 1.5, coldSlack: 5
+  revokeMs: 5_000,
+  graceMs: 6_000,
+  drainMs: 2_000,
+  evacuationMs: 5_000,
+  coldOver: 1.5,
+  coldSlack: 5,
+  exposeShare: 0.1,
+  exposeSlack: 30,
+  rollbackMs: 5_000
 } as const
 
 /** Tolerance for events that the soak records late while its own process waits for a core. */
--- a/packages/mesh/src/rollout/SequentialAnalysis.ts
+++ b/packages/mesh/src/rollout/SequentialAnalysis.ts
@@ -25,7 +25,7 @@
 const GRAY_SHARE = { min: 0.08, max: 0.4 }
 
 /** Bounds of the estimated share of bad results. */
-const BASELINE = { min: 0.01, max: 0.6 }
+const BASELINE = { min: 0.03, max: 0.6 }
 
 /** Results that are assumed before the first one, with the share `ASSUMED_BAD`, so that few results say little. */
 const ASSUMED_RESULTS = 8
