Queue no more requests at a canary than its allowance; apply changed bounds

Cause: a server whose version is not proven queued as many requests as any other; those beyond its allowance waited up to half a second for the check that rejects them. A settings file that brings the first bounds of the exposure left the node's server closed, since its records were read at the start only. Change: slot requests beyond the allowance are refused at once; the records are read when such bounds come. Result: three tests of a canary's admission.

--- a/packages/mesh/src/admission/reserveSlot.ts
+++ b/packages/mesh/src/admission/reserveSlot.ts
@@ -2,8 +2,10 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { AskSlotMessage, SlotRefusal } from '../messages/PeerMessage'
+import { findVersionRoom } from '../rollout/findVersionRoom'
 import type { SlotAsked } from './AdmissionEvent'
 import type { Reservation } from './AdmissionState'
+import { countReservations } from './countReservations'
 import { isTrialAllowed } from './isTrialAllowed'
 import { findLimitDelay, findRequestInterval } from './findLimitDelay'
 import { findUnavailableReason } from './findUnavailableReason'
@@ -62,6 +64,8 @@
   if (isSuspect && !isTrialAllowed(state, message)) return 'suspect'
   const { queued, slots } = summarizeLoad(state)
   if (queued >= slots * MAX_QUEUED_PER_SLOT) return 'full'
+  // A server whose version is not proven gets few requests; others would wait in vain.
+  if (queued + countReservations(admission, 'granted') >= findVersionRoom(state)) return 'closed'
   return findLimitDelay(state) + queued * findRequestInterval(admission.server!) > MAX_LIMIT_WAIT ? 'full' : undefined
 }
 
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -11,7 +11,6 @@
 import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
 import { isEarlier } from './StorePosition'
 import { applyOrders } from '../rollout/adoptOrder'
-import { hasRollouts } from '../rollout/exposureBounds'
 
 /** Number of unreadable parts that a log line names, because a line has to stay short. */
 const MAX_LOGGED_PARTS = 10
@@ -55,7 +54,7 @@
     const apply = isRestored ? applyRestoredEvacuated : applyEvacuated
     effects.push(...apply(state, event.evacuated))
   }
-  if (event.rollouts !== undefined && hasRollouts(state.bounds)) effects.push(...applyOrders(state, event.rollouts))
+  if (event.rollouts !== undefined) effects.push(...applyOrders(state, event.rollouts))
   return effects
 }
 
--- a/packages/mesh/src/rollout/rollout.test.ts
+++ b/packages/mesh/src/rollout/rollout.test.ts
@@ -1,6 +1,9 @@
 import {
-  ROLLOUT_PATHS, RolloutFleet, type RolloutFleetOptions, type RunResult, scheduleTraffic
+  atTime, makeAnnouncement, makeMeshState, makeSlotRequest, makeStorePosition, ROLLOUT_PATHS, RolloutFleet,
+  type RolloutFleetOptions, type RunResult, scheduleTraffic
 } from '@lavenderturn/fixtures/mesh'
+import { type MeshState, reduceMesh, type RolloutStepMessage } from '@lavenderturn/mesh'
+import { millis, type ServerVersion, type ServiceId, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
 
 const ORDERED_AT = 2_000
@@ -199,6 +202,75 @@
   })
 })
 
+describe('a server whose version is not proven', () => {
+  function startCanary (): MeshState {
+    const state = makeMeshState({ bounds: { exposeShare: 0.1, exposeSlack: 50, rollback: millis(5_000) } })
+    const position = makeStorePosition(3)
+    const order = { service: toId<ServiceId>('stock'), to: toId<ServerVersion>('v2'), duration: millis(14_000), position }
+    const confirmed = { steadyAt: millis(1_000), wallAt: millis(1_000) }
+    reduceMesh(state, atTime({
+      slice: 'configuration', type: 'configurationRead', rollouts: [order], position, confirmed
+    }, 1_000))
+    reduceMesh(state, atTime({ slice: 'rollout', type: 'recordsRead', stored: [], era: toId<never>(1) }, 1_000))
+    const announcement = makeAnnouncement({ version: toId('v2') })
+    reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, 1_000))
+    return state
+  }
+
+  function receiveStep (
+    state: MeshState,
+    { at, allowance, echo }: { readonly at: number, readonly allowance: number, readonly echo: number }
+  ): void {
+    const message: RolloutStepMessage = {
+      kind: 'rolloutStep',
+      replyTo: toId('node-2:1'),
+      service: toId('stock'),
+      to: toId('v2'),
+      duration: millis(14_000),
+      era: toId(1),
+      version: 3,
+      phase: 'canary',
+      term: 5,
+      step: at,
+      allowance,
+      echo
+    }
+    reduceMesh(state, atTime({ slice: 'rollout', type: 'stepReceived', message }, at))
+  }
+
+  function askSlots (state: MeshState, { at, count }: { at: number, count: number }): Array<string | undefined> {
+    return Array.from({ length: count }, (_, index) => {
+      const message = makeSlotRequest({ reservation: toId(`reservation-${at}-${index}`) })
+      const effects = reduceMesh(state, atTime({ slice: 'admission', type: 'slotAsked', message }, at))
+      const reply = effects.find((effect) => effect.slice === 'peer' && effect.message.kind === 'slot')
+      return reply?.slice === 'peer' && reply.message.kind === 'slot' ? reply.message.verdict : undefined
+    })
+  }
+
+  it('gets nothing before its node knows an allowance', () => {
+    expect(askSlots(startCanary(), { at: 1_100, count: 1 })).toEqual(['refused'])
+  })
+
+  // Guards against requests that wait for a server which may not get them.
+  it('is granted, and queues, no more requests than its allowance', () => {
+    const state = startCanary()
+    receiveStep(state, { at: 1_500, allowance: 3, echo: 1_400 })
+    expect(askSlots(state, { at: 1_600, count: 5 })).toEqual(['granted', 'granted', 'queued', 'refused', 'refused'])
+  })
+
+  // Guards against a permission that arrives late, or is used after the process was frozen.
+  it('gets nothing by an allowance that answers an old report', () => {
+    const state = startCanary()
+    const announcement = makeAnnouncement({ version: toId('v2'), seq: 2 })
+    reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, 8_900))
+    receiveStep(state, { at: 9_000, allowance: 8, echo: 4_000 })
+    expect(askSlots(state, { at: 9_001, count: 1 })).toEqual(['refused'])
+    receiveStep(state, { at: 9_500, allowance: 8, echo: 9_400 })
+    expect(askSlots(state, { at: 9_501, count: 1 })).toEqual(['granted'])
+    expect(askSlots(state, { at: 12_000, count: 1 })).toEqual(['refused'])
+  })
+})
+
 describe('the exposure of a version that is not proven', () => {
   // Guards against allowances that add up to more than the bound when conductors follow on each other, nodes do not
   // hear each other, or the store fails for some of them.
