Split the files of the roll-out slice by what they export

Cause: conductRollout.ts, adoptOrder.ts, applyPhase.ts and applyRecord.ts each held several concepts. Change: one file for each; no change of behaviour.

--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -10,7 +10,7 @@
 import { noteStoreEra } from './noteStoreEra'
 import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
 import { isEarlier } from './StorePosition'
-import { applyOrders } from '../rollout/adoptOrder'
+import { applyOrders } from '../rollout/applyOrders'
 
 /** Number of unreadable parts that a log line names, because a line has to stay short. */
 const MAX_LOGGED_PARTS = 10
--- a/packages/mesh/src/rollout/applyPhase.ts
+++ b/packages/mesh/src/rollout/applyPhase.ts
@@ -1,7 +1,6 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { rejectQueued } from '../admission/rejectQueued'
-import { findVersionRoom } from './findVersionRoom'
+import { closeVersion } from './closeVersion'
 import { isFinal, type RolloutPhase } from './RolloutOrder'
 import type { Rollout } from './RolloutState'
 
@@ -40,14 +39,3 @@
     ...closeVersion(state)
   ]
 }
-
-/**
- * Rejects the queued reservations of a server whose version gets no more requests, so that their gateways ask others.
- *
- * @param state - the node's state
- * @returns effects
- * @internal
- */
-export function closeVersion (state: MeshState): MeshEffect[] {
-  return findVersionRoom(state) > 0 ? [] : rejectQueued(state, 'closed')
-}
--- a/packages/mesh/src/rollout/grantAllowances.ts
+++ b/packages/mesh/src/rollout/grantAllowances.ts
@@ -50,8 +50,12 @@
   const findGiven = (report: NodeReport): number => allowances.get(nameProcess(report))?.requests ?? 0
   const active = canaries.filter((report) => findGiven(report) - report.dispatched > MIN_LEFT)
   const idle = canaries.filter((report) => !active.includes(report))
+  // Servers with the least allowance come first, then those in data centres with few active ones.
+  const rank = (report: NodeReport): number => {
+    return findGiven(report) + active.filter(({ dataCentre }) => dataCentre === report.dataCentre).length / MAX_ACTIVE
+  }
   while (active.length < MAX_ACTIVE && idle.length > 0 && left > 0 && (left >= CHUNK || active.length === 0)) {
-    idle.sort((first, second) => findRank(first) - findRank(second))
+    idle.sort((first, second) => rank(first) - rank(second))
     const next = idle.shift()!
     const requests = Math.min(left, CHUNK)
     left -= requests
@@ -59,11 +63,6 @@
     active.push(next)
   }
   return [...allowances.values()]
-
-  /** Servers with the least allowance first, and those in data centres without an active one. */
-  function findRank (report: NodeReport): number {
-    return findGiven(report) + active.filter(({ dataCentre }) => dataCentre === report.dataCentre).length / MAX_ACTIVE
-  }
 }
 
 /**
--- a/packages/mesh/src/rollout/reduceRollout.ts
+++ b/packages/mesh/src/rollout/reduceRollout.ts
@@ -1,14 +1,16 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { applyRecords, confirmRecord, handleFailedWrite, handleRejection } from './applyRecord'
-import { closeVersion } from './applyPhase'
-import { conductRollout, readDueRecords, watchConductor } from './conductRollout'
+import { applyRecords } from './applyRecords'
+import { closeVersion } from './closeVersion'
+import { conductRollout } from './conductRollout'
+import { confirmRecord, handleFailedWrite, handleRejection } from './handleWrite'
 import { receiveEvidence } from './receiveEvidence'
 import { receiveStep } from './receiveStep'
 import type { RolloutEvent } from './RolloutEvent'
 import { isFinal } from './RolloutOrder'
 import { createConduct, type Conduct, type Rollout } from './RolloutState'
 import { scheduleCheck } from './scheduleCheck'
+import { readDueRecords, watchConductor } from './watchConductor'
 
 /**
  * Moves the traffic of services to servers of another version, as operators order it.
