Metrics of roll-outs

Cause: the exposure of a new server was in the conductor's log only. Change: gauges for the phases and for the requests of the server beside a node.

--- a/packages/mesh-runtime/src/metrics/createMetricsServer.ts
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -70,6 +70,7 @@
   }
   return [
     ...collectMemory(runtime),
+    ...collectRollouts(runtime),
     gauge('lavenderturn_mesh_requests_open', 'Requests in flight at the gateway', requests),
     gauge('lavenderturn_mesh_members', 'Nodes that are known, this one included', members),
     gauge('lavenderturn_mesh_configuration_revision', 'Revision in force; 0 before the first', revision),
@@ -86,6 +87,27 @@
   ]
 }
 
+function collectRollouts (runtime: MeshRuntime): MetricSeries[] {
+  const { rollouts, exposure } = runtime.query(({ rollout }) => rollout)
+  const phases = new Map<string, number>()
+  for (const { phase } of rollouts.values()) phases.set(phase, (phases.get(phase) ?? 0) + 1)
+  return [
+    {
+      name: 'lavenderturn_mesh_rollouts',
+      help: 'Roll-outs of versions that are known, by phase',
+      values: [...phases].map(([phase, value]) => ({ labels: { phase }, value }))
+    },
+    {
+      name: 'lavenderturn_mesh_rollout_requests',
+      help: 'Requests since the order of a roll-out that the server beside the node has got, and those that it is allowed',
+      values: [
+        { labels: { kind: 'dispatched' }, value: exposure.dispatched },
+        { labels: { kind: 'allowed' }, value: exposure.allowance }
+      ]
+    }
+  ]
+}
+
 function collectMemory (runtime: MeshRuntime): MetricSeries[] {
   const { bytes, limitBytes, pausedMs } = runtime.query(({ memory }) => {
     const bytes = new Map<MemoryPurpose, number>()
