--- a/packages/mesh/src/rollout/collectSamples.ts
+++ b/packages/mesh/src/rollout/collectSamples.ts
@@ -45,8 +45,8 @@
   const latest = list.at(-1)!
   const isCanary = latest.version === version
   const first = list.findLast(({ receivedAt }) => receivedAt <= since)
-  // All results of a new server count, also those before its first report.
-  return { latest, isCanary, first: first ?? (isCanary ? undefined : list[0]) }
+  // Without a report at the start of the period, all results since the order count.
+  return { latest, isCanary, first }
 }
 
 /** Finds for each route the bucket above which a request of the other version is rare. */
--- a/packages/mesh/src/rollout/handleWrite.ts
+++ b/packages/mesh/src/rollout/handleWrite.ts
@@ -1,3 +1,4 @@
+import { millis } from '@lavenderturn/types'
 import { noteStoreEra } from '../configuration/noteStoreEra'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
@@ -31,6 +32,8 @@
     conduct.isConductor = true
     conduct.term = position.era * TERMS_PER_ERA + position.version
     conduct.step = 0
+    // The reports contain what an earlier conductor has seen.
+    if (record.allowances.length > 0) conduct.canarySince = millis(Number.NEGATIVE_INFINITY)
     const fields = { service: order.service, to: order.to, phase, elapsedMs: record.elapsedMs }
     effects.push({ slice: 'log', type: 'line', level: 'info', message: 'roll-out is conducted by this node', fields })
   }
