Tell the nodes the last phase also after a lost response

Cause: a conductor whose write of the roll-back was applied, but not acknowledged, learned it by reading and went on sending the step before it; nodes outside the followers kept the phase canary, with an allowance of 0. Change: only a decision that the store does not have yet is sent as a halt.

--- a/packages/mesh/src/rollout/rollout.test.ts
+++ b/packages/mesh/src/rollout/rollout.test.ts
@@ -183,6 +183,15 @@
     expectBoundedExposure(fleet)
   })
 
+  // Guards against nodes that are never told the last phase, because the conductor has only read that it was written.
+  it('is rolled back everywhere although responses to writes are lost', () => {
+    const fleet = startFleet({ fault: { share: 0.6 }, losesResponse: (write) => write > 4 && write < 14 })
+    fleet.runUntil(END)
+    for (const { rollout } of fleet.states.values()) {
+      expect(rollout.rollouts.get(toId<ServiceId>('stock'))?.phase).toBe('rolledBack')
+    }
+  })
+
   // Guards against a second order that opens the servers of the first version, which was not proven.
   it('gets nothing after another version was ordered', () => {
     const fleet = startFleet({ fault: { share: 0.2, from: 6_000 } })
--- a/packages/mesh/src/rollout/sendSteps.ts
+++ b/packages/mesh/src/rollout/sendSteps.ts
@@ -2,6 +2,7 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import { nameProcess } from './grantAllowances'
+import { isFinal } from './RolloutOrder'
 import type { Conduct, Rollout } from './RolloutState'
 
 /**
@@ -19,7 +20,7 @@
   conduct.step += 1
   const { order: { service, to, duration, position: { era, version } } } = rollout
   // A version that is to be rolled back gets nothing more, also while the store does not respond.
-  const isHalted = conduct.decision?.phase === 'rolledBack'
+  const isHalted = conduct.decision?.phase === 'rolledBack' && !isFinal(record.phase)
   const allowances = new Map(record.allowances.map((allowance) => [nameProcess(allowance), allowance.requests]))
   const effects: MeshEffect[] = []
   for (const { node, boot, peerAddress } of listServers(state.directory, service)) {
