One function for calls to the store that are aborted after a time

Cause: RolloutHandler repeated callWithTimeout of DirectoryHandler. Change: callWithTimeout.ts, used by both. Result: tests of both registries pass.

--- a/packages/mesh-runtime/src/directory/DirectoryHandler.ts
+++ b/packages/mesh-runtime/src/directory/DirectoryHandler.ts
@@ -3,7 +3,7 @@
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
-import { Deadline } from '../Deadline'
+import { callWithTimeout } from '../callWithTimeout'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
 import type { MemberRegistry } from './MemberRegistry'
 
@@ -63,8 +63,10 @@
     const { registry, runtime, log } = this.options
     while (!this.stopped) {
       try {
-        const { departure, era } = await callWithTimeout(async (signal) => await registry.write(own, signal))
-        const records = await callWithTimeout(async (signal) => await registry.list(signal))
+        const { departure, era } = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => {
+          return await registry.write(own, signal)
+        })
+        const records = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => await registry.list(signal))
         this.backoff.reset()
         this.isSyncing = false
         runtime.enqueue({ slice: 'directory', type: 'registryRead', records, departure, era })
@@ -79,7 +81,9 @@
   private async recordDeparture (departure: Departure): Promise<void> {
     const { registry, runtime, node } = this.options
     try {
-      await callWithTimeout(async (signal) => { await registry.recordDeparture(node, departure, signal) })
+      await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => {
+        await registry.recordDeparture(node, departure, signal)
+      })
       runtime.enqueue({ slice: 'admission', type: 'departureRecorded', departure })
     } catch (err) {
       runtime.enqueue({ slice: 'admission', type: 'departureNotRecorded', departure, reason: String(err) })
@@ -88,19 +92,10 @@
 
   private async remove (node: MemberRecord['node']): Promise<void> {
     try {
-      await callWithTimeout(async (signal) => { await this.options.registry.remove(node, signal) })
+      await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => { await this.options.registry.remove(node, signal) })
     } catch (err) {
       // A stale record is harmless: the other nodes send no requests to a node that does not respond.
       this.options.log.warn('record not removed', { error: String(err) })
     }
   }
 }
-
-async function callWithTimeout<Result> (call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
-  const deadline = new Deadline(CALL_TIMEOUT_MS)
-  try {
-    return await call(deadline.signal)
-  } finally {
-    deadline.clear()
-  }
-}
--- a/packages/mesh-runtime/src/rollout/RolloutHandler.ts
+++ b/packages/mesh-runtime/src/rollout/RolloutHandler.ts
@@ -2,7 +2,7 @@
 import type { ConsolaInstance } from 'consola'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backoff } from '../Backoff'
-import { Deadline } from '../Deadline'
+import { callWithTimeout } from '../callWithTimeout'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
 import type { RolloutRegistry } from './RolloutRegistry'
 
@@ -51,7 +51,7 @@
     const { runtime, log } = this.options
     while (!this.stopped) {
       try {
-        const { stored, era } = await callWithTimeout(async (signal) => await registry.list(signal))
+        const { stored, era } = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => await registry.list(signal))
         this.backoff.reset()
         this.isReading = false
         runtime.enqueue({ slice: 'rollout', type: 'recordsRead', stored, era })
@@ -66,7 +66,9 @@
   private async write (registry: RolloutRegistry, record: RolloutRecord, expectedVersion: number): Promise<void> {
     const { runtime } = this.options
     try {
-      const result = await callWithTimeout(async (signal) => await registry.write(record, expectedVersion, signal))
+      const result = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => {
+        return await registry.write(record, expectedVersion, signal)
+      })
       if (result.kind === 'applied') {
         runtime.enqueue({ slice: 'rollout', type: 'recordWritten', record, position: result.position })
       } else {
@@ -77,12 +79,3 @@
     }
   }
 }
-
-async function callWithTimeout<Result> (call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
-  const deadline = new Deadline(CALL_TIMEOUT_MS)
-  try {
-    return await call(deadline.signal)
-  } finally {
-    deadline.clear()
-  }
-}
