Call the store less often while it refuses calls

Refused calls are billed as well. Change: a reading is made once; a node that follows the store asks again each second, only while the records are not known. A write that failed is not followed by a reading, since the next write is rejected with the row, and writes are 0.7 s apart at least.

--- a/packages/mesh-runtime/src/rollout/RolloutHandler.ts
+++ b/packages/mesh-runtime/src/rollout/RolloutHandler.ts
@@ -1,7 +1,5 @@
 import type { MeshEffect, RolloutRecord } from '@lavenderturn/mesh'
 import type { ConsolaInstance } from 'consola'
-import { setTimeout as pause } from 'node:timers/promises'
-import { Backoff } from '../Backoff'
 import { callWithTimeout } from '../callWithTimeout'
 import { MeshEffectHandler, type MeshRuntime } from '../MeshRuntime'
 import type { RolloutRegistry } from './RolloutRegistry'
@@ -9,9 +7,6 @@
 /** Shorter than the time after which the reducer counts a write as failed. */
 const CALL_TIMEOUT_MS = 1_500
 
-/** Delays after failed readings. */
-const BACKOFF_OPTIONS = { initialDelayMs: 200, maxDelayMs: 1_000 }
-
 /** @internal */
 export interface RolloutHandlerOptions {
   readonly runtime: MeshRuntime
@@ -24,9 +19,7 @@
 export class RolloutHandler extends MeshEffectHandler {
   override readonly slices = ['rollout'] as const
   private readonly options: RolloutHandlerOptions
-  private readonly backoff = new Backoff(BACKOFF_OPTIONS)
   private isReading = false
-  private stopped = false
 
   constructor (options: RolloutHandlerOptions) {
     super()
@@ -40,26 +33,18 @@
     else void this.write(registry, effect.record, effect.expectedVersion)
   }
 
-  override stop (): void {
-    this.stopped = true
-  }
-
-  /** Reads until the store responds: without the records, a new version gets no requests. */
+  /** Reads once. The reducer asks again, because a store that refuses calls bills them all the same. */
   private async read (registry: RolloutRegistry): Promise<void> {
     if (this.isReading) return
     this.isReading = true
     const { runtime, log } = this.options
-    while (!this.stopped) {
-      try {
-        const { stored, era } = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => await registry.list(signal))
-        this.backoff.reset()
-        this.isReading = false
-        runtime.enqueue({ slice: 'rollout', type: 'recordsRead', stored, era })
-        return
-      } catch (err) {
-        log.warn('roll-out records not read', { error: String(err) })
-        await pause(this.backoff.nextDelayMs())
-      }
+    try {
+      const { stored, era } = await callWithTimeout(CALL_TIMEOUT_MS, async (signal) => await registry.list(signal))
+      runtime.enqueue({ slice: 'rollout', type: 'recordsRead', stored, era })
+    } catch (err) {
+      log.warn('roll-out records not read', { error: String(err) })
+    } finally {
+      this.isReading = false
     }
   }
 
--- a/packages/mesh/src/configuration/checkConfirmation.ts
+++ b/packages/mesh/src/configuration/checkConfirmation.ts
@@ -3,7 +3,7 @@
 import type { Member } from '../directory/Member'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
-import { hasRollouts } from '../rollout/exposureBounds'
+import { readMissingRecords } from '../rollout/readMissingRecords'
 import { CURRENT_AGE, ISOLATION_TIMEOUT, QUERIES, QUERY_INTERVAL } from './configurationTimings'
 import { findConfirmationAge } from './confirmationAge'
 import { countFollowers, isFollower, rankFollowers } from './rankFollowers'
@@ -40,6 +40,7 @@
   const effects = [
     scheduleConfirmationCheck(), ...setFollowing(state, isIsolated || isFollower(state, ranked))
   ]
+  effects.push(...readMissingRecords(state))
   if (configuration.current === undefined && !relay.following) {
     effects.push({ slice: 'configuration', type: 'read' })
   }
@@ -62,16 +63,13 @@
   return [...selectReliable(state, ranked, QUERIES.current), ...unreliable]
 }
 
-function setFollowing ({ bounds, configuration }: MeshState, active: boolean): MeshEffect[] {
+function setFollowing ({ configuration }: MeshState, active: boolean): MeshEffect[] {
   const { relay } = configuration
   if (relay.following === active) return []
   relay.following = active
   const message = active ? 'store followed' : 'store no longer followed'
-  // The other nodes learn of the records from those that follow the store.
-  const readsRecords = active && hasRollouts(bounds)
   return [
     { slice: 'configuration', type: 'follow', active },
-    ...readsRecords ? [{ slice: 'rollout', type: 'readRecords' } as const] : [],
     { slice: 'log', type: 'line', level: 'info', message, fields: { faults: relay.faults.size } }
   ]
 }
--- a/packages/mesh/src/lifecycle/reduceLifecycle.ts
+++ b/packages/mesh/src/lifecycle/reduceLifecycle.ts
@@ -5,7 +5,6 @@
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import { refuseRequest } from '../gateway/refuseRequest'
-import { hasRollouts } from '../rollout/exposureBounds'
 import { scheduleCheck as scheduleRolloutCheck } from '../rollout/scheduleCheck'
 import type { LifecycleEvent } from './LifecycleEvent'
 import { findStopTime, isRefusingRequests, RETRY_AFTER_STOP } from './plannedStop'
@@ -28,7 +27,8 @@
     state.bounds = event.bounds
     return [
       { slice: 'log', type: 'line', level: 'info', message: 'bounds changed', fields: { ...event.bounds } },
-      ...readMissingRecords(state)
+      // The new bounds may be the first ones that limit the exposure of versions.
+      ...scheduleRolloutCheck(state)
     ]
   }
   if (event.type === 'stopAsked') {
@@ -59,12 +59,6 @@
   ]
 }
 
-/** The records are needed from now on if the new bounds are the first ones that limit the exposure of versions. */
-function readMissingRecords (state: MeshState): MeshEffect[] {
-  if (!hasRollouts(state.bounds) || state.rollout.recordsKnown) return []
-  return [{ slice: 'rollout', type: 'readRecords' }, ...scheduleRolloutCheck(state)]
-}
-
 function refuseRemaining (state: MeshState): MeshEffect[] {
   return [...state.gateway.requests.values()].flatMap((request) => {
     if (request.currentAttempt !== undefined) request.mayHaveRun = true
--- a/packages/mesh/src/rollout/RolloutState.ts
+++ b/packages/mesh/src/rollout/RolloutState.ts
@@ -89,6 +89,8 @@
   ordersKnown: boolean
   /** Whether the records of roll-outs are known. */
   recordsKnown: boolean
+  /** When the records were last read because they were not known. */
+  readAt: Millis
   readonly rollouts: Map<ServiceId, Rollout>
   /** Of this instance's backend server. */
   exposure: Exposure
@@ -105,6 +107,7 @@
   return {
     ordersKnown: false,
     recordsKnown: false,
+    readAt: millis(Number.NEGATIVE_INFINITY),
     rollouts: new Map(),
     exposure: createExposure(),
     conducts: new Map(),
--- a/packages/mesh/src/rollout/handleWrite.ts
+++ b/packages/mesh/src/rollout/handleWrite.ts
@@ -57,8 +57,7 @@
 }
 
 /**
- * Handles a write without a usable response. The record is read before the next one, because the write may have been
- * applied.
+ * Handles a write without a usable response. If it was applied, the next one is rejected and returns the row.
  *
  * @param state - the node's state
  * @param event - the failed write
@@ -70,8 +69,5 @@
   const conduct = state.rollout.conducts.get(service)
   if (conduct !== undefined) conduct.pending = undefined
   const fields = { service, to, phase: record.phase, reason }
-  return [
-    { slice: 'log', type: 'line', level: 'warn', message: 'roll-out record not written', fields },
-    { slice: 'rollout', type: 'readRecords' }
-  ]
+  return [{ slice: 'log', type: 'line', level: 'warn', message: 'roll-out record not written', fields }]
 }
--- a/packages/mesh/src/rollout/writeDueRecord.ts
+++ b/packages/mesh/src/rollout/writeDueRecord.ts
@@ -18,14 +18,14 @@
  */
 export function writeDueRecord (state: MeshState, rollout: Rollout, conduct: Conduct): MeshEffect[] {
   const { now } = state
-  if (conduct.pending !== undefined || conduct.stored === undefined) return []
+  const sinceWrite = now - conduct.writtenAt
+  if (conduct.pending !== undefined || conduct.stored === undefined || sinceWrite < MIN_WRITE_INTERVAL) return []
   const record = composeRecord(state, rollout, conduct)
   const { record: stored, version: expectedVersion } = conduct.stored
   const isUrgent = conduct.decision !== undefined || !conduct.isConductor
   const hasChanged = record.allowances.length > 0 &&
     JSON.stringify(record.allowances) !== JSON.stringify(stored?.allowances)
-  const sinceWrite = now - conduct.writtenAt
-  const isDue = isUrgent || (hasChanged && sinceWrite >= MIN_WRITE_INTERVAL) || sinceWrite >= RECORD_WRITE_INTERVAL
+  const isDue = isUrgent || hasChanged || sinceWrite >= RECORD_WRITE_INTERVAL
   if (!isDue) return []
   conduct.pending = { record, since: now }
   conduct.writtenAt = now
