Let a new conductor wait for reports, and review a promotion until it is written

Cause, found by reading: a conductor that has just taken over has no reports. A promotion that the store could not take was written when the store was back, also if the version had turned bad meanwhile. Change: no decision but a roll-back for bad results within 1.2 s of a takeover; decisions other than a roll-back are made anew at each step until the store has acknowledged them. Result: two new tests failed before (two requests cut; 'promoting' written).

--- a/packages/mesh/src/rollout/RolloutState.ts
+++ b/packages/mesh/src/rollout/RolloutState.ts
@@ -65,6 +65,8 @@
   pending?: { readonly record: RolloutRecord, readonly since: Millis }
   writtenAt: Millis
   isConductor: boolean
+  /** Since when; decisions wait for the first reports. */
+  conductsSince: Millis
   /** Orders the steps of successive conductors. */
   term: number
   step: number
@@ -134,6 +136,7 @@
     readAt: millis(Number.NEGATIVE_INFINITY),
     writtenAt: millis(Number.NEGATIVE_INFINITY),
     isConductor: false,
+    conductsSince: now,
     term: 0,
     step: 0,
     finalSteps: 0,
--- a/packages/mesh/src/rollout/conductRollout.ts
+++ b/packages/mesh/src/rollout/conductRollout.ts
@@ -34,6 +34,7 @@
     conduct.readAt = now
     effects.push({ slice: 'rollout', type: 'readRecords' })
   }
-  if (conduct.decision === undefined) effects.push(...decidePhase(state, rollout, conduct))
+  // A promotion that the store has not acknowledged yet may have become wrong.
+  if (conduct.decision?.phase !== 'rolledBack') effects.push(...decidePhase(state, rollout, conduct))
   return [...effects, ...writeDueRecord(state, rollout, conduct), ...sendSteps(state, rollout, conduct)]
 }
--- a/packages/mesh/src/rollout/decidePhase.ts
+++ b/packages/mesh/src/rollout/decidePhase.ts
@@ -6,7 +6,7 @@
 import type { RolloutPhase } from './RolloutOrder'
 import type { Conduct, NodeReport, Rollout } from './RolloutState'
 import {
-  COMPLETION_TIME, DECISION_TIME, EARLIEST_PROMOTION, MIN_CLOSED_TIME, OVERLAP, REPORT_VALIDITY
+  COMPLETION_TIME, DECISION_TIME, EARLIEST_PROMOTION, FIRST_REPORTS_TIME, MIN_CLOSED_TIME, OVERLAP, REPORT_VALIDITY
 } from './rolloutTimings'
 
 /** The last seconds, in which a fault that appears late is not hidden by earlier results. */
@@ -41,10 +41,11 @@
   const decision = rollout.withdrawn
     ? { phase: 'rolledBack', reason: 'withdrawn by operators' } as const
     : findDecision(state, rollout, { conduct, judgement, elapsedMs })
+  const isNew = decision?.phase !== conduct.decision?.phase
   const isLogDue = now - conduct.loggedAt >= LOG_INTERVAL
-  if (decision === undefined && !isLogDue) return []
-  conduct.loggedAt = now
   conduct.decision = decision
+  if (!isNew && !isLogDue) return []
+  conduct.loggedAt = now
   const { service, to } = rollout.order
   const { verdict, logOdds, unprovenLogOdds, total, detail } = judgement
   const fields = {
@@ -93,6 +94,8 @@
   const { verdict, detail, total, logOdds, unprovenLogOdds } = judgement
   const { duration } = rollout.order
   if (verdict === 'bad') return { phase: 'rolledBack', reason: `bad: ${detail}` }
+  // Nodes that have not been asked yet are not silent, and their servers are not idle.
+  if (state.now - conduct.conductsSince < FIRST_REPORTS_TIME) return undefined
   const phase: RolloutPhase = conduct.stored?.record?.phase ?? 'canary'
   if (phase === 'promoting') {
     const isReady = state.now - rollout.phaseSince >= OVERLAP + MIN_CLOSED_TIME
--- a/packages/mesh/src/rollout/handleWrite.ts
+++ b/packages/mesh/src/rollout/handleWrite.ts
@@ -30,6 +30,7 @@
   const effects: MeshEffect[] = []
   if (!conduct.isConductor) {
     conduct.isConductor = true
+    conduct.conductsSince = state.now
     conduct.term = position.era * TERMS_PER_ERA + position.version
     conduct.step = 0
     // The reports contain what an earlier conductor has seen.
--- a/packages/mesh/src/rollout/rollout.test.ts
+++ b/packages/mesh/src/rollout/rollout.test.ts
@@ -128,6 +128,34 @@
     expect(fleet.record?.reason).not.toMatch(/^bad/)
   })
 
+  // Guards against a new conductor that takes the silence of nodes it has not asked yet for servers that run nothing.
+  it('stops no server that runs requests although its conductor is killed after the promotion', () => {
+    // Requests that begin late at the old servers take long.
+    const findServiceMs = (at: number): number => at > 12_000 ? 6_000 : 180
+    const run: RolloutFleetOptions['run'] = ({ node, at }) => {
+      const isOld = Number(node.split('-')[1]) <= OLD_SERVERS
+      return { outcome: { kind: 'answered', failed: false }, afterMs: isOld ? findServiceMs(at) : 180 }
+    }
+    const fleet = startFleet({ run, newServers: 10, duration: 24_000 })
+    let isKilled = false
+    for (let at = 0; at < 30_000; at += 10) {
+      fleet.runUntil(at)
+      const promoted = fleet.applied.find(({ phase }) => phase === 'promoting')
+      // The nodes have heard of the promotion by then.
+      if (promoted === undefined || at < promoted.at + 1_500 || isKilled) continue
+      isKilled = true
+      fleet.kill(promoted.conductor)
+    }
+    expect(isKilled).toBe(true)
+    expect(findPhase(fleet)).toBe('completed')
+    const completedAt = findEnd(fleet)
+    const running = fleet.runs.filter(({ node, at }) => {
+      const isRunning = at < completedAt && at + findServiceMs(at) > completedAt
+      return isRunning && fleet.findVersion(node) === 'v1' && !fleet.ended.has(node)
+    })
+    expect(running).toEqual([])
+  })
+
   it.each([1, 2, 5, 9])('is completed although the response to write %i is lost', (write) => {
     const fleet = startFleet({ losesResponse: (number) => number === write })
     fleet.runUntil(END)
@@ -183,6 +211,19 @@
     expectBoundedExposure(fleet)
   })
 
+  // Guards against a promotion that is written when the store is back, although the version has turned bad since.
+  it('is rolled back if it turns bad before its promotion can be written', () => {
+    const serves = (_: string, now: number): boolean => now < 8_200 || now > 13_000
+    const fleet = startFleet({ fault: { share: 0.7, from: 8_300 }, load: 2, serves })
+    fleet.schedule(8_300, () => {
+      const { rollout } = fleet.states.get(fleet.record!.conductor)!
+      rollout.conducts.get(toId<ServiceId>('stock'))!.decision = { phase: 'promoting', reason: 'proven' }
+    })
+    fleet.runUntil(END)
+    expect(fleet.applied.map(({ phase }) => phase)).not.toContain('promoting')
+    expect(findPhase(fleet)).toBe('rolledBack')
+  })
+
   // Guards against nodes that are never told the last phase, because the conductor has only read that it was written.
   it('is rolled back everywhere although responses to writes are lost', () => {
     const fleet = startFleet({ fault: { share: 0.6 }, losesResponse: (write) => write > 4 && write < 14 })
--- a/packages/mesh/src/rollout/rolloutTimings.ts
+++ b/packages/mesh/src/rollout/rolloutTimings.ts
@@ -24,6 +24,9 @@
 /** Time after a conductor's step for which the record is not read. Two steps may be lost. */
 export const STEP_VALIDITY = millis(1_100)
 
+/** Time after which a new conductor has the reports of the nodes: two steps, the first of which may be lost. */
+export const FIRST_REPORTS_TIME = millis(1_200)
+
 /** Age up to which the report of a node counts as current. */
 export const REPORT_VALIDITY = millis(1_600)
 
