Close a server that replaces one of another version until the store confirms

Looking for it in the product: a node whose server is replaced before it has heard of the order passed requests on. Change: the stand-in copies its state. A replaced server of another version is closed until the store has confirmed what its node knows.

--- a/apps/soak/src/harness/BackendStandin.ts
+++ b/apps/soak/src/harness/BackendStandin.ts
@@ -42,7 +42,8 @@
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly options: BackendStandinOptions) {
-    this.state = options.server
+    // The reducer of the soak updates its own object in place.
+    this.state = { ...options.server }
     this.http = createServer((req, res) => { this.run(req, res) })
     this.timer = setInterval(() => { this.announce() }, ANNOUNCE_INTERVAL_MS)
   }
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -9,6 +9,8 @@
   readonly endpoint: EndpointId
   readonly address: Address
   readonly version: ServerVersion
+  /** When it replaced a server of another version at this node; absent if this process knows of none. */
+  readonly versionChangedAt?: Millis
   slots: number
   state: 'ready' | 'draining' | 'gone'
   /**
--- a/packages/mesh/src/admission/handleAnnouncement.ts
+++ b/packages/mesh/src/admission/handleAnnouncement.ts
@@ -119,12 +119,14 @@
 
 function startIncarnation (state: MeshState, announcement: Announcement): MeshEffect[] {
   const { admission, now } = state
-  const effects = admission.server === undefined ? [] : reportCrash(state)
+  const previous = admission.server
+  const effects = previous === undefined ? [] : reportCrash(state)
   const { endpoint, address, version, slots, startedAt, seq, coldRemaining } = announcement
   admission.server = {
     endpoint,
     address,
     version,
+    versionChangedAt: previous === undefined || previous.version === version ? previous?.versionChangedAt : now,
     slots,
     startedAt,
     seq,
--- a/packages/mesh/src/rollout/findVersionRoom.ts
+++ b/packages/mesh/src/rollout/findVersionRoom.ts
@@ -16,6 +16,7 @@
   const { admission: { server }, bounds, identity, now, rollout } = state
   if (server === undefined || !hasRollouts(bounds)) return UNLIMITED
   if (!rollout.ordersKnown || !rollout.recordsKnown) return 0
+  if (isOrderUnknown(state)) return 0
   const current = rollout.rollouts.get(identity.service)
   if (current === undefined) return UNLIMITED
   if (current.excluded.has(server.version)) return 0
@@ -29,6 +30,12 @@
   }
 }
 
+/** Whether the server's version may have been ordered since the store last confirmed what this node knows. */
+function isOrderUnknown ({ admission: { server }, configuration: { confirmed } }: MeshState): boolean {
+  const changedAt = server?.versionChangedAt
+  return changedAt !== undefined && (confirmed === undefined || confirmed.steadyAt < changedAt)
+}
+
 function findAllowance ({ now, rollout: { exposure } }: MeshState): number {
   return now < exposure.validUntil ? Math.max(0, exposure.allowance - exposure.dispatched) : 0
 }
--- a/packages/mesh/src/rollout/rollout.test.ts
+++ b/packages/mesh/src/rollout/rollout.test.ts
@@ -301,6 +301,30 @@
     expect(askSlots(startCanary(), { at: 1_100, count: 1 })).toEqual(['refused'])
   })
 
+  // Guards against a server that is replaced by one of another version before its node has heard of the order.
+  it('gets nothing before the store has confirmed what its node knows, if it replaces one of another version', () => {
+    const state = makeMeshState({ bounds: { exposeShare: 0.1, exposeSlack: 50, rollback: millis(5_000) } })
+    const confirm = (at: number): void => {
+      const confirmed = { steadyAt: millis(at), wallAt: millis(at) }
+      const { revision: storedRevision } = state.configuration.current!
+      reduceMesh(state, atTime({
+        slice: 'configuration', type: 'configurationRead', storedRevision, rollouts: [], confirmed
+      }, at))
+    }
+    const announce = (version: string, at: number): void => {
+      const announcement = makeAnnouncement({ version: toId(version), startedAt: at })
+      reduceMesh(state, atTime({ slice: 'admission', type: 'serverAnnounced', announcement }, at))
+    }
+    confirm(900)
+    reduceMesh(state, atTime({ slice: 'rollout', type: 'recordsRead', stored: [], era: toId<never>(1) }, 900))
+    announce('v1', 1_000)
+    expect(askSlots(state, { at: 1_100, count: 1 })).toEqual(['granted'])
+    announce('v2', 2_000)
+    expect(askSlots(state, { at: 2_100, count: 1 })).toEqual(['refused'])
+    confirm(2_200)
+    expect(askSlots(state, { at: 2_300, count: 1 })).toEqual(['granted'])
+  })
+
   // Guards against requests that wait for a server which may not get them.
   it('is granted, and queues, no more requests than its allowance', () => {
     const state = startCanary()
