--- a/apps/soak/src/SoakState.ts
+++ b/apps/soak/src/SoakState.ts
@@ -31,6 +31,8 @@
   /** Software version, and the share of errors that is its own. */
   version: string
   versionErrorShare: number
+  /** Whether the server of another version that it replaced was stopped in the middle of its requests. */
+  isStoppedAbruptly?: boolean
   /** Time of the last start; the server announces itself as cold for `COLD_TIME` after it. */
   startedAt: Millis
   /** Time at which the node beside it acknowledged the drain. */
--- a/apps/soak/src/runAction.ts
+++ b/apps/soak/src/runAction.ts
@@ -167,7 +167,12 @@
   const isCompleted = status === 'completed'
   const version = isCompleted ? NEW_VERSION : FIRST_VERSION
   const replaced = [...state.servers.values()].filter((server) => server.version !== version)
-  const change = { version, versionErrorShare: isCompleted ? state.rollOut!.errorShare : 0, startedAt: state.now }
+  const change = {
+    version,
+    versionErrorShare: isCompleted ? state.rollOut!.errorShare : 0,
+    isStoppedAbruptly: isCompleted,
+    startedAt: state.now
+  }
   const effects = replaced.flatMap(({ node }) => setServer(state, node, change))
   return isCompleted ? effects : [{ type: 'writeRollOut' }, ...effects]
 }
