--- a/packages/mesh-runtime/src/peers/peerCodec.test.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.test.ts
@@ -10,6 +10,18 @@
 const load = makeLoadSummary({ suspect: true, errorRate: 0.25, limitDelayMs: 600 })
 const reservation = toId<never>('boot.1')
 
+const confirmation: PeerMessage = {
+  kind: 'confirmation',
+  query: toId('q'),
+  node: toId('node-1'),
+  following: true,
+  revision: toId(4),
+  version: 90,
+  era: toId(2),
+  ageMs: 40,
+  evacuated: [toId('dc-a')]
+}
+
 const messages: readonly PeerMessage[] = [
   makeSlotRequest(),
   makeSlotRequest({ senderStops: true }),
@@ -17,26 +29,9 @@
   { kind: 'beat', node: toId('node-1'), boot: 'b', load, revision: toId(4), leaving: false, hearsReceiver: true },
   { kind: 'askConfirmation', query: toId('q'), replyTo: toId('10.0.0.1:7') },
   { kind: 'cancel', reservation },
+  confirmation,
   {
-    kind: 'confirmation',
-    query: toId('q'),
-    node: toId('node-1'),
-    following: true,
-    revision: toId(4),
-    version: 90,
-    era: toId(2),
-    ageMs: 40,
-    evacuated: [toId('dc-a')]
-  },
-  {
-    kind: 'confirmation',
-    query: toId('q'),
-    node: toId('node-1'),
-    following: true,
-    revision: toId(4),
-    version: 90,
-    era: toId(2),
-    ageMs: 40,
+    ...confirmation,
     evacuated: [],
     rollouts: [
       [toId('stock'), toId('v2'), 14_000, toId(2), 81, 'rolledBack', 9_000, false, [toId('v1')]],
--- a/packages/mesh/src/rollout/rolloutTimings.ts
+++ b/packages/mesh/src/rollout/rolloutTimings.ts
@@ -21,7 +21,7 @@
  */
 export const TAKEOVER_TIMEOUT = millis(2_100)
 
-/** Time after a conductor's step for which the record is not read. Two steps may be lost. */
+/** Time after a conductor's step for which the record is not read. A single lost step causes no reading. */
 export const STEP_VALIDITY = millis(1_100)
 
 /** Time after which a new conductor has the reports of the nodes: two steps, the first of which may be lost. */
