--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -36,7 +36,8 @@
       const chunks = []
       res.on('data', (chunk) => { chunks.push(chunk) })
       res.on('end', () => {
-        end({ status: res.statusCode, stamp: res.headers['x-server-stamp'], text: Buffer.concat(chunks).toString() })
+        const { 'x-server-stamp': stamp, 'server-leaving': leaving } = res.headers
+        end({ status: res.statusCode, stamp, leaving, text: Buffer.concat(chunks).toString() })
       })
       res.on('error', (err) => { end({ error: err.message }) })
     })
--- a/review/lib-2/endpoint.mjs
+++ b/review/lib-2/endpoint.mjs
@@ -64,17 +64,35 @@
     this.#server?.closeAllConnections()
   }
 
+  /** Leaves as some endpoints do: it deregisters first, serves on for a while, and says so in all its answers. */
+  async leave () {
+    clearInterval(this.#timer)
+    this.isLeaving = true
+    return await this.#call(`/lavenderturn/Instances.Deregister/${this.id}`, { born: this.born })
+  }
+
+  /** Sends a heartbeat that arrives late. */
+  beatLate (afterMs) {
+    const { path, body } = this.#composeBeat()
+    setTimeout(() => { void this.#call(path, body) }, afterMs)
+  }
+
   /** Sends one heartbeat. */
-  beat (state = 'ready') {
+  beat () {
+    const { path, body } = this.#composeBeat()
+    return this.#call(path, body)
+  }
+
+  #composeBeat () {
     const { service, zone, slots } = this.options
     this.lastBeatAt = performance.now()
     const body = {
       address: `${LOOPBACK}:${this.port}`,
       born: this.born,
       info: { service, version: 'v1', zone, slots },
-      status: { state, seq: ++this.#seq, cold_remaining: `${this.coldMs}ms` }
+      status: { state: 'ready', seq: ++this.#seq, cold_remaining: `${this.coldMs}ms` }
     }
-    return this.#call(`/lavenderturn/Instances.Heartbeat/${this.id}`, body)
+    return { path: `/lavenderturn/Instances.Heartbeat/${this.id}`, body }
   }
 
   #call (path, body) {
@@ -114,6 +132,7 @@
       run.endedAt = performance.now()
       const body = `answer to ${id}`
       const answer = { 'x-request-id': id, 'x-server-stamp': `stamp.${id}`, 'content-length': body.length }
+      if (this.isLeaving === true) answer['server-leaving'] = '1'
       res.writeHead(200, answer).end(body)
     }, this.options.workMs(run))
     // Most endpoints drop a request when its connection closes.
