--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -7,13 +7,16 @@
 
 const SERVICES = ['stock-ledger', 'intake-hub']
 const HOST = 'pantry.example'
-const UPLOAD_WORK_MS = 250
+const FIRST_WORK_MS = 250
 /** `node_freeze` of the sites lasts 4.0 s at most. */
 const FREEZE_MS = 3_500
 /** The client takes this long for the head of the second request; the limit `header_timeout` is 3 s. */
 const HEAD_MS = 600
 const DEADLINE_MS = 5_000
-const TRIES = 3
+/** Statuses that promise that a request has not run. */
+const NOT_RUN = new Set(['408', '421', '429', '503'])
+/** The first request of each try; only the uploads, which may not be repeated, are judged. */
+const FIRST_REQUESTS = ['upload', 'upload', 'upload', 'lookup']
 
 const makeRule = (name, kind, service) => ({
   name,
@@ -56,13 +59,15 @@
       { zone: zones[2], service: 'intake-hub' }
     ],
     configuration,
-    workMs: ({ path = '', url }) => url.startsWith('/manifest/') ? UPLOAD_WORK_MS : 60,
+    workMs: ({ url }) => url.startsWith('/check/first') || url.startsWith('/manifest/') ? FIRST_WORK_MS : 60,
     onStop
   })
   const [front] = deployment.machines
   let isBroken = false
-  for (let attempt = 1; attempt <= TRIES; attempt++) {
-    const upload = { method: 'POST', path: `/manifest/${attempt}`, id: createId(), length: 3_000 }
+  for (const [attempt, kind] of FIRST_REQUESTS.entries()) {
+    const first = kind === 'upload'
+      ? { method: 'POST', path: `/manifest/${attempt}`, id: createId(), length: 3_000 }
+      : { method: 'GET', path: `/check/first-${attempt}`, id: createId() }
     const check = { method: 'GET', path: `/check/${attempt}`, id: createId() }
     const socket = connect(front.ports.caller, LOOPBACK)
     const connection = { received: '', isClosed: false }
@@ -70,12 +75,12 @@
     socket.on('error', (err) => { write(`connection: ${err.message}`) })
     socket.on('close', () => { connection.isClosed = true })
     const head = composeHead(check)
-    socket.write(composeHead(upload) + 'm'.repeat(upload.length) + head.slice(0, 40))
+    socket.write(composeHead(first) + 'm'.repeat(first.length ?? 0) + head.slice(0, 40))
     const sentAt = performance.now()
-    write(`sent upload ${upload.id} whole, and behind it the first bytes of the head of ${check.id}`)
+    write(`sent ${kind} ${first.id} whole, and behind it the first bytes of the head of ${check.id}`)
     const findRun = (id) => deployment.runs.find((run) => run.id === id)
-    while (findRun(upload.id) === undefined && performance.now() - sentAt < 2_000) await pause(5)
-    write(`endpoint began to work on ${upload.id}: ${findRun(upload.id) !== undefined}`)
+    while (findRun(first.id) === undefined && performance.now() - sentAt < 2_000) await pause(5)
+    write(`endpoint began to work on ${first.id}: ${findRun(first.id) !== undefined}`)
     if (isTrouble) {
       front.signal('SIGSTOP')
       write(`${front.name} freezes`)
@@ -92,10 +97,10 @@
     while (!connection.isClosed && countAnswers() < 2 && performance.now() - sentAt < 6_000) await pause(20)
     const { received, isClosed } = connection
     const status = /^HTTP\/1\.1 (\d+)/.exec(received)?.[1]
-    const run = findRun(upload.id)
+    const run = findRun(first.id)
     write(`received: ${JSON.stringify(received)}; connection closed: ${isClosed}`)
-    write(`first answer on the connection, which is that to ${upload.id}: ${status}; its run: ${run?.outcome}`)
-    if (run !== undefined && ['408', '421', '429', '503'].includes(status)) isBroken = true
+    write(`first answer on the connection, which is that to ${first.id}: ${status}; its run: ${run?.outcome}`)
+    if (kind === 'upload' && run !== undefined && NOT_RUN.has(status)) isBroken = true
     socket.destroy()
     await pause(3_500)
   }
