Log what the HTTP parser rejects on a caller's connection

Cause: the listener of `clientError` wrote its refusal without a log line, an event or a metric, so that nothing in a node told how many requests of that connection were still unanswered.

Change: the event `inputRejected` with the parser's code and the number of unanswered requests, a log line, and the event's count in `lavenderturn_mesh_events_total`.

--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -41,6 +41,14 @@
     }
     connection.add(res, start)
   }
+
+  /**
+   * @param socket - a connection
+   * @returns the number of its requests that have no complete response
+   */
+  countUnanswered (socket: Socket): number {
+    return this.connections.get(socket)?.unanswered ?? 0
+  }
 }
 
 class CallerConnection {
@@ -56,6 +64,10 @@
     socket.once('close', () => { this.close() })
   }
 
+  get unanswered (): number {
+    return this.open.size
+  }
+
   add (res: ServerResponse, start: () => void): void {
     this.open.add(res)
     const run = (): void => {
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -4,6 +4,7 @@
 import type { ConsolaInstance } from 'consola'
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { BodyEvictedError, BodyTooLargeError } from '../body/bodyErrors'
 import { readBody } from '../body/readBody'
@@ -83,7 +84,11 @@
     })
     this.applyLimits(DEFAULT_LIMITS)
     this.server.on('request', (req, res) => { this.accept(req, res) })
-    this.server.on('clientError', refuseUnreadable)
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      const unanswered = this.connections.countUnanswered(socket as Socket)
+      runtime.dispatch({ slice: 'gateway', type: 'inputRejected', code: err.code ?? err.name, unanswered })
+      refuseUnreadable(err, socket)
+    })
   }
 
   /** Sends `Connection: close` with all further responses. */
--- a/packages/mesh/src/gateway/GatewayEvent.ts
+++ b/packages/mesh/src/gateway/GatewayEvent.ts
@@ -38,6 +38,15 @@
   readonly waiting: number
 }
 
+/** The HTTP parser rejected bytes of a caller, or they did not become a request in time. @public */
+export interface InputRejected extends GatewayEventBase {
+  readonly type: 'inputRejected'
+  /** Error code of the HTTP parser or of the connection. */
+  readonly code: string
+  /** Requests that the caller sent before on the same connection and that have no complete response yet. */
+  readonly unanswered: number
+}
+
 /** Connections were not accepted because too many are open. @public */
 export interface ConnectionsDropped extends GatewayEventBase {
   readonly type: 'connectionsDropped'
@@ -173,6 +182,7 @@
   | ExchangeClosed
   | ExchangeOpened
   | ExchangeRefused
+  | InputRejected
   | QuestionsDue
   | RecallDue
   | RequestArrived
--- a/packages/mesh/src/gateway/reduceGateway.ts
+++ b/packages/mesh/src/gateway/reduceGateway.ts
@@ -8,8 +8,8 @@
 import { endAttempt } from './endAttempt'
 import { endRequest } from './endRequest'
 import type {
-  AttemptStarted, ConnectionOverflowed, ConnectionsDropped, ExchangeRefused, GatewayEvent, ResponseBroken, SlotAnswered,
-  TokenAnswered
+  AttemptStarted, ConnectionOverflowed, ConnectionsDropped, ExchangeRefused, GatewayEvent, InputRejected,
+  ResponseBroken, SlotAnswered, TokenAnswered
 } from './GatewayEvent'
 import type { GatewayRequest } from './GatewayState'
 import { handleRecallDue, handleAttemptLost, handleAttemptRecalled } from './recoverAttempt'
@@ -33,6 +33,7 @@
       return []
     case 'exchangeRefused': return [logExchangeRefusal(event)]
     case 'responseBroken': return [logResponseBroken(event)]
+    case 'inputRejected': return [logRejectedInput(event)]
     case 'connectionOverflowed': return [logOverflow(event)]
     case 'connectionsDropped': return [logDroppedConnections(event)]
     case 'requestArrived': return admitRequest(state, event)
@@ -56,6 +57,10 @@
   return { slice: 'log', type: 'line', level: 'info', message: 'response broken off', fields: { request } }
 }
 
+function logRejectedInput ({ code, unanswered }: InputRejected): MeshEffect {
+  return { slice: 'log', type: 'line', level: 'info', message: 'input rejected', fields: { code, unanswered } }
+}
+
 function logOverflow ({ waiting }: ConnectionOverflowed): MeshEffect {
   const message = 'connection closed: too many requests wait on it'
   return { slice: 'log', type: 'line', level: 'info', message, fields: { waiting } }
