Write the refusal of unreadable input after the answers to earlier requests

A 408 promises that the request has not run, so callers send it again, and it runs twice.

Cause: the listener of `clientError` wrote its refusal straight to the connection, also while earlier requests of that connection were queued, running or being answered. The caller takes the first bytes that it receives as the response to its first request. Any parser error does the same with a 400 or 431, and one in the body of a request that had already been refused (413) sends a second response.

Change: `ConnectionResponses` knows the responses of a connection that are not complete, and ends the connection after them. The class is in packages/runtime, because lavenderturn-node has a listener of its own.

--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -1,6 +1,7 @@
+import type { EvictionReason } from '@lavenderturn/mesh'
+import { type ConnectionResponses, ServerConnections } from '@lavenderturn/runtime'
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { EvictionReason } from '@lavenderturn/mesh'
 import type { MemoryAccount, BodyShare } from '../memory/MemoryAccount'
 import { MemoryHolder } from '../memory/MemoryHolder'
 
@@ -22,6 +23,8 @@
 
 /** Connections of callers, and the requests that were sent on each before the earlier ones were answered. @internal */
 export class CallerConnections {
+  /** The responses of each connection that are not complete. */
+  readonly responses = new ServerConnections()
   private readonly connections = new WeakMap<Socket, CallerConnection>()
 
   constructor (private readonly options: CallerConnectionsOptions) {}
@@ -36,44 +39,37 @@
     const { socket } = res.req
     let connection = this.connections.get(socket)
     if (connection === undefined) {
-      connection = new CallerConnection(socket, this.options)
+      connection = new CallerConnection(socket, this.responses.get(socket), this.options)
       this.connections.set(socket, connection)
     }
     connection.add(res, start)
   }
-
-  /**
-   * @param socket - a connection
-   * @returns the number of its requests that have no complete response
-   */
-  countUnanswered (socket: Socket): number {
-    return this.connections.get(socket)?.unanswered ?? 0
-  }
 }
 
 class CallerConnection {
-  /** Responses that are not complete, whether their requests are handled or wait. */
-  private readonly open = new Set<ServerResponse>()
   private readonly waiting: Array<() => void> = []
   private readonly share: BodyShare
   private handled = 0
 
-  constructor (private readonly socket: Socket, private readonly options: CallerConnectionsOptions) {
+  constructor (
+    private readonly socket: Socket,
+    /** Those whose requests are handled or wait. */
+    private readonly responses: ConnectionResponses,
+    private readonly options: CallerConnectionsOptions
+  ) {
     this.share = options.account.openShare({ purpose: 'pipeline', stage: 'reading' })
     this.share.holder = new ConnectionHolder(() => { this.overflow() })
-    socket.once('close', () => { this.close() })
-  }
-
-  get unanswered (): number {
-    return this.open.size
+    socket.once('close', () => {
+      this.waiting.length = 0
+      this.share.close()
+    })
   }
 
   add (res: ServerResponse, start: () => void): void {
-    this.open.add(res)
+    this.responses.add(res)
     const run = (): void => {
       this.handled += 1
       res.once('close', () => {
-        this.open.delete(res)
         this.handled -= 1
         this.startNext()
       })
@@ -101,18 +97,6 @@
     this.options.onOverflow(this.waiting.length)
     this.socket.destroy()
   }
-
-  /** Node reports the end of the connection only to the response that it is writing, not to those behind it. */
-  private close (): void {
-    this.waiting.length = 0
-    this.share.close()
-    for (const res of [...this.open]) {
-      if (res.closed) continue
-      res.destroy()
-      res.emit('close')
-    }
-    this.open.clear()
-  }
 }
 
 /** Node cannot stop reading a connection whose requests wait, so that pausing has no effect; it can be closed. */
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -1,11 +1,9 @@
 import { type CallerLimits, DEFAULT_RETRY_AFTER } from '@lavenderturn/mesh'
-import { type BodyBuffer, hasForwardableHeaders } from '@lavenderturn/runtime'
+import { type BodyBuffer, hasForwardableHeaders, rejectUnreadable } from '@lavenderturn/runtime'
 import { type Fingerprint, type KeyHash, millis, type RequestId, type ResultCodeName, toId } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
-import type { Duplex } from 'node:stream'
 import { BodyEvictedError, BodyTooLargeError } from '../body/bodyErrors'
 import { readBody } from '../body/readBody'
 import { describeError } from '../describeError'
@@ -33,9 +31,6 @@
 /** Interval between checks for connections whose head takes too long. */
 const HEAD_CHECK_INTERVAL_MS = 1_000
 
-/** Time for a caller to read the refusal of what is not a request before its connection is closed. */
-const LINGER_TIMEOUT_MS = 2_000
-
 /** Responses to what is not a request, by the error of the HTTP parser. */
 const UNREADABLE_STATUSES: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
@@ -84,10 +79,13 @@
     })
     this.applyLimits(DEFAULT_LIMITS)
     this.server.on('request', (req, res) => { this.accept(req, res) })
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      const unanswered = this.connections.countUnanswered(socket as Socket)
-      runtime.dispatch({ slice: 'gateway', type: 'inputRejected', code: err.code ?? err.name, unanswered })
-      refuseUnreadable(err, socket)
+    rejectUnreadable(this.server, {
+      connections: this.connections.responses,
+      composeRefusal,
+      refuseBody: (res) => { this.refuse(res, 'malformedRequest', 'the body cannot be read') },
+      onRejected: ({ code, unanswered }) => {
+        runtime.dispatch({ slice: 'gateway', type: 'inputRejected', code, unanswered })
+      }
     })
   }
 
@@ -202,15 +200,10 @@
   }
 }
 
-/** Refuses what is not a request, and closes the connection even if the caller does not. */
-function refuseUnreadable (err: NodeJS.ErrnoException, socket: Duplex): void {
-  if (socket.writable) {
-    const status = UNREADABLE_STATUSES.get(err.code ?? '') ?? '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    setTimeout(() => { socket.destroy() }, LINGER_TIMEOUT_MS).unref()
-  } else {
-    socket.destroy()
-  }
+/** @returns a refusal of what is not a request */
+function composeRefusal (code: string): string {
+  const status = UNREADABLE_STATUSES.get(code) ?? '400 Bad Request'
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
 }
 
 function parseHost ({ headers }: RequestHead): string {
--- /dev/null
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -0,0 +1,76 @@
+import type { ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+
+/** Time for a client to read the last bytes before its connection is closed. */
+const LINGER_TIMEOUT_MS = 2_000
+
+/**
+ * The responses of one connection that are not complete, in the order of their requests. A client may send requests
+ * before earlier ones are answered, and takes the first bytes that it receives as the response to the first of them. So
+ * what concerns the connection as a whole is written after all of them.
+ *
+ * @public
+ */
+export class ConnectionResponses {
+  private readonly open = new Set<ServerResponse>()
+  private isFinishing = false
+  private lastBytes = ''
+
+  /** @param socket - the connection */
+  constructor (private readonly socket: Duplex) {
+    socket.once('close', () => { this.close() })
+  }
+
+  /** Number of requests without a complete response. */
+  get unanswered (): number {
+    return this.open.size
+  }
+
+  /** The response to the newest request, if it is not complete. */
+  get newest (): ServerResponse | undefined {
+    return [...this.open].at(-1)
+  }
+
+  /**
+   * Adds the response to a further request.
+   *
+   * @param res - the response
+   */
+  add (res: ServerResponse): void {
+    this.open.add(res)
+    res.once('close', () => {
+      this.open.delete(res)
+      this.endIfComplete()
+    })
+  }
+
+  /**
+   * Ends the connection once all responses are complete.
+   *
+   * @param lastBytes - written after them, nothing by default
+   */
+  finish (lastBytes = ''): void {
+    if (this.isFinishing) return
+    this.isFinishing = true
+    this.lastBytes = lastBytes
+    this.endIfComplete()
+  }
+
+  private endIfComplete (): void {
+    const { socket } = this
+    if (!this.isFinishing || this.open.size > 0 || !socket.writable) return
+    socket.end(this.lastBytes)
+    // Closing a connection with unread data resets it, and the last bytes can be lost.
+    setTimeout(() => { socket.destroy() }, LINGER_TIMEOUT_MS).unref()
+  }
+
+  /** Node reports the end of the connection only to the response that it is writing, not to those behind it. */
+  private close (): void {
+    for (const res of [...this.open]) {
+      if (res.closed) continue
+      res.destroy()
+      res.emit('close')
+    }
+    this.open.clear()
+  }
+}
