Don't run a request whose connection has been refused

Seen by callers: "408 Request Timeout" for a request that may run once, which then ran. A caller believes the promise and sends it again, so that it runs twice.

Cause: after the check of the heads had refused a connection, the HTTP parser went on reading it. The rest of the head, if it came before the connection was closed (2 s), made a request that was handled like any other.

Change: a connection that ends takes no further request. What comes behind the last one that is answered gets no response, which counts as not read; its body is discarded, and with more than 1,024 such requests the connection is closed.

Measured: "does not run if the second one comes after the refusal" fails on and on (the backend server gets /reserve/a after the 408), passes now; the other tests of the file and platform/pipelining.test.ts pass.

--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -1,5 +1,5 @@
 import type { EvictionReason } from '@lavenderturn/mesh'
-import { type ConnectionResponses, ServerConnections } from '@lavenderturn/runtime'
+import { ServerConnections } from '@lavenderturn/runtime'
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { MemoryAccount, BodyShare } from '../memory/MemoryAccount'
@@ -39,7 +39,7 @@
     const { socket } = res.req
     let connection = this.connections.get(socket)
     if (connection === undefined) {
-      connection = new CallerConnection(socket, this.responses.get(socket), this.options)
+      connection = new CallerConnection(socket, this.options)
       this.connections.set(socket, connection)
     }
     connection.add(res, start)
@@ -51,12 +51,7 @@
   private readonly share: BodyShare
   private handled = 0
 
-  constructor (
-    private readonly socket: Socket,
-    /** Those whose requests are handled or wait. */
-    private readonly responses: ConnectionResponses,
-    private readonly options: CallerConnectionsOptions
-  ) {
+  constructor (private readonly socket: Socket, private readonly options: CallerConnectionsOptions) {
     this.share = options.account.openShare({ purpose: 'pipeline', stage: 'reading' })
     this.share.holder = new ConnectionHolder(() => { this.overflow() })
     socket.once('close', () => {
@@ -66,7 +61,6 @@
   }
 
   add (res: ServerResponse, start: () => void): void {
-    this.responses.add(res)
     const run = (): void => {
       this.handled += 1
       res.once('close', () => {
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -102,6 +102,7 @@
   private accept (req: IncomingMessage, res: ServerResponse): void {
     const { runtime } = this.options
     const arrivedAt = performance.now()
+    if (!this.connections.responses.get(req.socket).add(res)) return
     runtime.dispatch({ slice: 'gateway', type: 'exchangeOpened' })
     res.once('close', () => { runtime.dispatch({ slice: 'gateway', type: 'exchangeClosed' }) })
     this.connections.add(res, () => { void this.receive(req, res, arrivedAt) })
--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -4,6 +4,9 @@
 /** Time for a client to read the last bytes before its connection is closed. */
 const LINGER_TIMEOUT_MS = 2_000
 
+/** Requests that a client may send behind the last one that is answered. Node keeps them until the connection ends. */
+const MAX_IGNORED_REQUESTS = 1_024
+
 /**
  * The responses of one connection that are not complete, in the order of their requests. A client may send requests
  * before earlier ones are answered, and takes the first bytes that it receives as the response to the first of them. So
@@ -15,6 +18,7 @@
   private readonly open = new Set<ServerResponse>()
   private isFinishing = false
   private lastBytes = ''
+  private ignored = 0
 
   /** @param socket - the connection */
   constructor (private readonly socket: Duplex) {
@@ -32,16 +36,22 @@
   }
 
   /**
-   * Adds the response to a further request.
+   * Adds the response to a further request, unless the connection ends before it.
    *
    * @param res - the response
+   * @returns false if the request must not be handled: it gets no response, so that its caller sends it again
    */
-  add (res: ServerResponse): void {
+  add (res: ServerResponse): boolean {
+    if (this.isFinishing) {
+      this.ignore(res)
+      return false
+    }
     this.open.add(res)
     res.once('close', () => {
       this.open.delete(res)
       this.endIfComplete()
     })
+    return true
   }
 
   /**
@@ -56,6 +66,13 @@
     this.endIfComplete()
   }
 
+  private ignore ({ req }: ServerResponse): void {
+    // An unread body would keep Node from reading, and a connection that is closed with unread data loses responses.
+    req.resume()
+    this.ignored += 1
+    if (this.ignored > MAX_IGNORED_REQUESTS) this.socket.destroy()
+  }
+
   private endIfComplete (): void {
     const { socket } = this
     if (!this.isFinishing || this.open.size > 0 || !socket.writable) return
