Judge the time of a head after reading what has come

Cause: the check of the heads is a timer, and timers run before the sockets are read. After a time in which the process stood still the check finds heads whose rest has been waiting in the socket.

Change: a head that took too long is refused in the phase of the event loop after the next reading of the sockets, if it still is incomplete.

Measured: "is served if the node stood still before the second one" fails on and without this change (408), passes now; the other 11 tests of the file pass.

--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -19,12 +19,18 @@
   private isFinishing = false
   private lastBytes = ''
   private ignored = 0
+  private addedCount = 0
 
   /** @param socket - the connection */
   constructor (private readonly socket: Duplex) {
     socket.once('close', () => { this.close() })
   }
 
+  /** Number of requests so far. */
+  get added (): number {
+    return this.addedCount
+  }
+
   /** Number of requests without a complete response. */
   get unanswered (): number {
     return this.open.size
@@ -46,6 +52,7 @@
       this.ignore(res)
       return false
     }
+    this.addedCount += 1
     this.open.add(res)
     res.once('close', () => {
       this.open.delete(res)
--- a/packages/runtime/src/connection/rejectUnreadable.ts
+++ b/packages/runtime/src/connection/rejectUnreadable.ts
@@ -3,6 +3,9 @@
 import { decideRejection, type RejectedInput } from './decideRejection'
 import type { ServerConnections } from './ServerConnections'
 
+/** Code with which Node reports that the head of a request took too long. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** @public */
 export interface RejectUnreadableOptions {
   readonly connections: ServerConnections
@@ -26,12 +29,23 @@
  */
 export function rejectUnreadable (server: Server, options: RejectUnreadableOptions): void {
   server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+    const code = err.code ?? err.name
+    const { added } = options.connections.get(socket)
     // The connection has failed.
     if (!socket.writable) socket.destroy()
-    else reject(options, err.code ?? err.name, socket)
+    else if (code === HEAD_TIMEOUT) setImmediate(() => { rejectLateHead(options, socket, added) })
+    else reject(options, code, socket)
   })
 }
 
+/**
+ * Refuses a head that took too long, unless it is complete by now. The check of the heads runs before the sockets are
+ * read, so that after a time in which the process stood still it also finds those whose rest has been waiting there.
+ */
+function rejectLateHead (options: RejectUnreadableOptions, socket: Duplex, added: number): void {
+  if (options.connections.get(socket).added === added && socket.writable) reject(options, HEAD_TIMEOUT, socket)
+}
+
 function reject (
   { connections, composeRefusal, refuseBody, onRejected }: RejectUnreadableOptions,
   code: string,
