Close idle connections only after reading what has come on them

Seen by callers: a request on a kept connection gets a closed connection, because the node stood still after it had come.

The idle timeout is a timer, and timers run before the sockets are read.

Change: a connection whose idle timeout has passed is closed in the phase of the event loop after the next reading of the sockets, if nothing was read.

Measured: "is not closed for being idle if a request waits to be read" fails without the change, passes with it; the test beside it (idle connections are closed) passes with and without it; the other 12 tests of the file pass.

--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -1,5 +1,5 @@
 import { type CallerLimits, DEFAULT_RETRY_AFTER } from '@lavenderturn/mesh'
-import { type BodyBuffer, hasForwardableHeaders, rejectUnreadable } from '@lavenderturn/runtime'
+import { type BodyBuffer, closeIdleAfterReading, hasForwardableHeaders, rejectUnreadable } from '@lavenderturn/runtime'
 import { type Fingerprint, type KeyHash, millis, type RequestId, type ResultCodeName, toId } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { createHash } from 'node:crypto'
@@ -79,6 +79,7 @@
     })
     this.applyLimits(DEFAULT_LIMITS)
     this.server.on('request', (req, res) => { this.accept(req, res) })
+    closeIdleAfterReading(this.server)
     rejectUnreadable(this.server, {
       connections: this.connections.responses,
       composeRefusal,
