Don't run requests behind a response that closes their connection

Seen by callers: with several requests at once on a connection, one that is refused before it was received (413, 1509), or any request at a stopping node, gets a response that closes the connection. Those behind it were run all the same, and got no answer. Callers take them for not read and send them again, also those that may run once.

Cause: whether the connection closes was decided for each response alone, though it concerns all requests of the connection.

Change: `ConnectionResponses.finish` takes no further request, lets all that were taken be answered, and marks the newest response as the one that closes the connection.

--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -127,7 +127,7 @@
     const { runtime, protocol } = this.options
     const limits = runtime.query(({ configuration }) => configuration.current?.limits) ?? DEFAULT_LIMITS
     this.applyLimits(limits)
-    if (this.closing) res.shouldKeepAlive = false
+    if (this.closing) this.endConnection(res)
     const head: RequestHead = {
       method: req.method ?? 'GET', target: req.url ?? '/', headers: parseRawHeaders(req.rawHeaders)
     }
@@ -161,10 +161,15 @@
   private refuse (res: ServerResponse, result: ResultCodeName, detail: string, requestId = ''): void {
     const { runtime, protocol } = this.options
     runtime.dispatch({ slice: 'gateway', type: 'exchangeRefused', callerRequestId: requestId, result, detail })
-    res.shouldKeepAlive = false
+    this.endConnection(res)
     writeResponse(res, protocol.composeRefusal(result, { requestId, detail, retryAfter: DEFAULT_RETRY_AFTER }))
   }
 
+  /** Ends the connection of a response once that to the newest request is complete, so that none is run in vain. */
+  private endConnection ({ req }: ServerResponse): void {
+    this.connections.responses.get(req.socket).finish()
+  }
+
   private dispatchRequest (
     { head, fields, body, res, ageMs }: Arrival & { readonly res: ServerResponse, readonly ageMs: number }
   ): void {
--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -62,14 +62,16 @@
   }
 
   /**
-   * Ends the connection once all responses are complete.
+   * Ends the connection once all responses are complete. Requests that come from now on are not handled.
    *
-   * @param lastBytes - written after them, nothing by default
+   * @param lastBytes - written after them; by default the newest response says that the connection closes
    */
   finish (lastBytes = ''): void {
     if (this.isFinishing) return
     this.isFinishing = true
     this.lastBytes = lastBytes
+    const { newest } = this
+    if (lastBytes === '' && newest?.headersSent === false) newest.shouldKeepAlive = false
     this.endIfComplete()
   }
 
