lavenderturn-node: write refusals of unreadable input after earlier answers

Seen by callers of lavenderturn-node (tests; no deploy file starts this program): with several requests at once on a connection, the 400 for bytes that are no request is the answer to an earlier request, which runs. Requests behind a refused one run without an answer. A request that is running, and whose body turns out to be malformed, gets "run": "not-run"; from the server between nodes, the other node then takes it for not run.

Cause: the same as in the program of the deploy file, in a listener of its own.

Change: both programs use `rejectUnreadable` and `ConnectionResponses`, which is found by the socket now, so that sendProblem can end a connection in order. A request that may be running gets a closed connection. A request for a tunnel (CONNECT) is refused after the earlier answers too; the mesh node destroyed the connection together with them.

--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -1,5 +1,4 @@
 import type { EvictionReason } from '@lavenderturn/mesh'
-import { ServerConnections } from '@lavenderturn/runtime'
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { MemoryAccount, BodyShare } from '../memory/MemoryAccount'
@@ -23,8 +22,6 @@
 
 /** Connections of callers, and the requests that were sent on each before the earlier ones were answered. @internal */
 export class CallerConnections {
-  /** The responses of each connection that are not complete. */
-  readonly responses = new ServerConnections()
   private readonly connections = new WeakMap<Socket, CallerConnection>()
 
   constructor (private readonly options: CallerConnectionsOptions) {}
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -1,5 +1,7 @@
 import { type CallerLimits, DEFAULT_RETRY_AFTER } from '@lavenderturn/mesh'
-import { type BodyBuffer, closeIdleAfterReading, hasForwardableHeaders, rejectUnreadable } from '@lavenderturn/runtime'
+import {
+  type BodyBuffer, closeIdleAfterReading, ConnectionResponses, hasForwardableHeaders, rejectUnreadable
+} from '@lavenderturn/runtime'
 import { type Fingerprint, type KeyHash, millis, type RequestId, type ResultCodeName, toId } from '@lavenderturn/types'
 import type { ConsolaInstance } from 'consola'
 import { createHash } from 'node:crypto'
@@ -81,7 +83,6 @@
     this.server.on('request', (req, res) => { this.accept(req, res) })
     closeIdleAfterReading(this.server)
     rejectUnreadable(this.server, {
-      connections: this.connections.responses,
       composeRefusal,
       refuseBody: (res) => { this.refuse(res, 'malformedRequest', 'the body cannot be read') },
       onRejected: ({ code, unanswered }) => {
@@ -103,7 +104,7 @@
   private accept (req: IncomingMessage, res: ServerResponse): void {
     const { runtime } = this.options
     const arrivedAt = performance.now()
-    if (!this.connections.responses.get(req.socket).add(res)) return
+    if (!ConnectionResponses.of(req.socket).add(res)) return
     runtime.dispatch({ slice: 'gateway', type: 'exchangeOpened' })
     res.once('close', () => { runtime.dispatch({ slice: 'gateway', type: 'exchangeClosed' }) })
     this.connections.add(res, () => { void this.receive(req, res, arrivedAt) })
@@ -127,7 +128,7 @@
     const { runtime, protocol } = this.options
     const limits = runtime.query(({ configuration }) => configuration.current?.limits) ?? DEFAULT_LIMITS
     this.applyLimits(limits)
-    if (this.closing) this.endConnection(res)
+    if (this.closing) endConnection(res)
     const head: RequestHead = {
       method: req.method ?? 'GET', target: req.url ?? '/', headers: parseRawHeaders(req.rawHeaders)
     }
@@ -161,15 +162,10 @@
   private refuse (res: ServerResponse, result: ResultCodeName, detail: string, requestId = ''): void {
     const { runtime, protocol } = this.options
     runtime.dispatch({ slice: 'gateway', type: 'exchangeRefused', callerRequestId: requestId, result, detail })
-    this.endConnection(res)
+    endConnection(res)
     writeResponse(res, protocol.composeRefusal(result, { requestId, detail, retryAfter: DEFAULT_RETRY_AFTER }))
   }
 
-  /** Ends the connection of a response once that to the newest request is complete, so that none is run in vain. */
-  private endConnection ({ req }: ServerResponse): void {
-    this.connections.responses.get(req.socket).finish()
-  }
-
   private dispatchRequest (
     { head, fields, body, res, ageMs }: Arrival & { readonly res: ServerResponse, readonly ageMs: number }
   ): void {
@@ -207,6 +203,11 @@
   }
 }
 
+/** Ends the connection of a response once that to the newest request is complete, so that none is run in vain. */
+function endConnection ({ req }: ServerResponse): void {
+  ConnectionResponses.of(req.socket).finish()
+}
+
 /** @returns a refusal of what is not a request */
 function composeRefusal (code: string): string {
   const status = UNREADABLE_STATUSES.get(code) ?? '400 Bad Request'
--- a/packages/runtime/src/admission/AdmissionHandler.ts
+++ b/packages/runtime/src/admission/AdmissionHandler.ts
@@ -2,7 +2,7 @@
   describeLoad, type Dispatch, type FailWork, type LoadReport, type RuntimeEffect, type Reject, type WorkOutcome
 } from '@lavenderturn/decisions'
 import { type AttemptId, type BootId, resultCodes, type ResultCodeName, toId } from '@lavenderturn/types'
-import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http'
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
 import { endResponse } from '../endResponse'
 import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
@@ -77,6 +77,14 @@
     })
   }
 
+  /**
+   * @param res - a response
+   * @returns whether it is that of an attempt which is not complete
+   */
+  hasExchange (res: ServerResponse): boolean {
+    return [...this.exchanges.values()].some((exchange) => exchange.res === res)
+  }
+
   /**
    * Returns the state of an attempt for the probes of its gateway. `stalled` means that this node waits to receive or
    * to send bytes: if the gateway waits as well, the connection between them is broken.
--- a/packages/runtime/src/admission/createForwardServer.ts
+++ b/packages/runtime/src/admission/createForwardServer.ts
@@ -1,5 +1,6 @@
 import { type AttemptId, type EndpointId, type Millis, millis, type RequestId, toId } from '@lavenderturn/types'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { ConnectionResponses } from '../connection/ConnectionResponses'
 import { handleMalformedRequests } from '../handleMalformedRequests'
 import { headers } from '../headers'
 import { parseReference } from '../loadHeader'
@@ -38,7 +39,8 @@
   })
   server.on('request', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: false }) })
   server.on('checkContinue', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: true }) })
-  handleMalformedRequests(server)
+  const { handler } = options
+  handleMalformedRequests(server, { mayRun: (res) => handler.hasExchange(res) })
   return server
 }
 
@@ -56,6 +58,7 @@
 
 function acceptAttempt ({ runtime, handler, counter }: ForwardServerOptions, arrival: IncomingAttempt): void {
   const { req, res } = arrival
+  if (!ConnectionResponses.of(req.socket).add(res)) return
   if (req.method === 'OPTIONS' && req.url === '*') {
     answerProbe(handler, arrival)
     return
--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -7,6 +7,8 @@
 /** Requests that a client may send behind the last one that is answered. Node keeps them until the connection ends. */
 const MAX_IGNORED_REQUESTS = 1_024
 
+const connections = new WeakMap<Duplex, ConnectionResponses>()
+
 /**
  * The responses of one connection that are not complete, in the order of their requests. A client may send requests
  * before earlier ones are answered, and takes the first bytes that it receives as the response to the first of them. So
@@ -21,11 +23,23 @@
   private ignored = 0
   private addedCount = 0
 
-  /** @param socket - the connection */
-  constructor (private readonly socket: Duplex) {
+  private constructor (private readonly socket: Duplex) {
     socket.once('close', () => { this.close() })
   }
 
+  /**
+   * @param socket - a connection of an HTTP server
+   * @returns its responses
+   */
+  static of (socket: Duplex): ConnectionResponses {
+    let responses = connections.get(socket)
+    if (responses === undefined) {
+      responses = new ConnectionResponses(socket)
+      connections.set(socket, responses)
+    }
+    return responses
+  }
+
   /** Number of requests so far. */
   get added (): number {
     return this.addedCount
--- a/packages/runtime/src/connection/rejectUnreadable.ts
+++ b/packages/runtime/src/connection/rejectUnreadable.ts
@@ -1,14 +1,16 @@
 import type { Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
+import { ConnectionResponses } from './ConnectionResponses'
 import { decideRejection, type RejectedInput } from './decideRejection'
-import type { ServerConnections } from './ServerConnections'
 
 /** Code with which Node reports that the head of a request took too long. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
 
+/** Code for a request for a tunnel, which is not one that can be forwarded. */
+const CONNECT_REQUEST = 'CONNECT'
+
 /** @public */
 export interface RejectUnreadableOptions {
-  readonly connections: ServerConnections
   /**
    * @param code - error code of the parser
    * @returns a complete response that closes the connection
@@ -23,19 +25,24 @@
 /**
  * Refuses what clients send that is no request.
  *
- * @param server - an HTTP server whose responses are added to `connections`
- * @param options - its connections, and the refusals
+ * @param server - an HTTP server whose responses are added to those of their connections
+ * @param options - the refusals
  * @public
  */
 export function rejectUnreadable (server: Server, options: RejectUnreadableOptions): void {
   server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
     const code = err.code ?? err.name
-    const { added } = options.connections.get(socket)
+    const { added } = ConnectionResponses.of(socket)
     // The connection has failed.
     if (!socket.writable) socket.destroy()
     else if (code === HEAD_TIMEOUT) setImmediate(() => { rejectLateHead(options, socket, added) })
     else reject(options, code, socket)
   })
+  // Node destroys the connection if there is no listener, together with the responses to earlier requests.
+  server.on('connect', (_, socket) => {
+    socket.on('error', () => {}).resume()
+    reject(options, CONNECT_REQUEST, socket)
+  })
 }
 
 /**
@@ -43,15 +50,15 @@
  * read, so that after a time in which the process stood still it also finds those whose rest has been waiting there.
  */
 function rejectLateHead (options: RejectUnreadableOptions, socket: Duplex, added: number): void {
-  if (options.connections.get(socket).added === added && socket.writable) reject(options, HEAD_TIMEOUT, socket)
+  if (ConnectionResponses.of(socket).added === added && socket.writable) reject(options, HEAD_TIMEOUT, socket)
 }
 
 function reject (
-  { connections, composeRefusal, refuseBody, onRejected }: RejectUnreadableOptions,
+  { composeRefusal, refuseBody, onRejected }: RejectUnreadableOptions,
   code: string,
   socket: Duplex
 ): void {
-  const responses = connections.get(socket)
+  const responses = ConnectionResponses.of(socket)
   const { newest, unanswered } = responses
   const body = newest === undefined || newest.req.complete ? undefined : { isAnswered: newest.headersSent }
   const input = { code, unanswered, body }
--- a/packages/runtime/src/gateway/GatewayHandler.ts
+++ b/packages/runtime/src/gateway/GatewayHandler.ts
@@ -1,6 +1,6 @@
 import type { Forward, RuntimeEffect, Refuse } from '@lavenderturn/decisions'
 import { type RequestId, type ResultCodeName, toId } from '@lavenderturn/types'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { EffectHandler } from '../EffectHandler'
 import { Exchange, type ExchangeBody, type ExchangeOptions } from '../exchange/Exchange'
 import { ExchangeAgent } from '../exchange/ExchangeAgent'
@@ -56,6 +56,14 @@
     })
   }
 
+  /**
+   * @param res - a response
+   * @returns whether its request has been passed on to this handler and not been answered
+   */
+  hasExchange (res: ServerResponse): boolean {
+    return [...this.exchanges.values()].some((exchange) => exchange.res === res)
+  }
+
   override run (effect: RuntimeEffect): void {
     if (effect.slice !== 'gateway') return
     const exchange = this.exchanges.get(effect.requestId)
--- a/packages/runtime/src/gateway/createCallerServer.ts
+++ b/packages/runtime/src/gateway/createCallerServer.ts
@@ -3,6 +3,8 @@
 } from '@lavenderturn/types'
 import { createHash, randomUUID } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { closeIdleAfterReading } from '../connection/closeIdleAfterReading'
+import { ConnectionResponses } from '../connection/ConnectionResponses'
 import { hasForwardableHeaders } from '../exchange/hasForwardableHeaders'
 import { handleMalformedRequests } from '../handleMalformedRequests'
 import { hasSupportedTransferCoding } from '../hasSupportedTransferCoding'
@@ -48,6 +50,7 @@
     // `isWellFormed` checks the host header instead, so that the answer has problem details.
     requireHostHeader: false
   }, (req, res) => {
+    if (!ConnectionResponses.of(req.socket).add(res)) return
     counter?.track(res)
     acceptRequest({ runtime, handler }, req, res).catch((err: unknown) => {
       if (!res.headersSent && !res.destroyed) sendProblem({ req, res, result: 'internal' })
@@ -55,7 +58,8 @@
       setImmediate(() => { throw err })
     })
   })
-  handleMalformedRequests(server)
+  handleMalformedRequests(server, { mayRun: (res) => handler.hasExchange(res) })
+  closeIdleAfterReading(server)
   return server
 }
 
--- a/packages/runtime/src/gateway/malformed.test.ts
+++ b/packages/runtime/src/gateway/malformed.test.ts
@@ -1,10 +1,18 @@
-import { TestResources, sendRaw, sendRequest, startTestPath, TEST_KEY } from '@lavenderturn/fixtures/runtime'
+import {
+  TestResources, sendRaw, sendRequest, startTestPath, TEST_KEY, waitUntil
+} from '@lavenderturn/fixtures/runtime'
 import { makeBackendConfig, startBackendServer } from '@lavenderturn/standin-backend-server'
-import { toId } from '@lavenderturn/types'
+import { type Address, toId } from '@lavenderturn/types'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import { connect } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 
 const AUTHORIZATION = `authorization: Bearer ${TEST_KEY}\r\n`
 
+/** Longer than a malformed request takes to be refused. */
+const BACKEND_DELAY_MS = 200
+
 /** Requests that HTTP parsers interpret differently, or whose target is ambiguous. */
 const MALFORMED: ReadonlyArray<readonly [string, string]> = [
   ['conflicting framing headers', 'POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'],
@@ -62,4 +70,59 @@
     expect((await sendRequest(callerAddress, { headers: { 'x-large': value } })).status).toBe(200)
     expect([...server.state.requests.values()][0]!.headers['x-large']).toBe(value)
   })
+
+  /** Starts a path to a backend server that answers after a while, and lists what it began to run. */
+  async function startSlow (): Promise<{ readonly callerAddress: Address, readonly runs: string[] }> {
+    const runs: string[] = []
+    const backend = createServer((req, res) => {
+      runs.push(req.url ?? '')
+      req.on('error', () => {}).resume()
+      setTimeout(() => { res.end(`ran ${req.url}`) }, BACKEND_DELAY_MS)
+    })
+    const { callerAddress } = await startTestPath(resources, { backends: [await resources.listen(backend)] })
+    return { callerAddress, runs }
+  }
+
+  const listStatuses = (received: string): string[] => {
+    return [...received.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(([, status]) => status!)
+  }
+
+  const FIRST = `GET /stock/a HTTP/1.1\r\nhost: a\r\n${AUTHORIZATION}\r\n`
+
+  // Guards against a refusal in the place of the answer to an earlier request, which has run.
+  it.each([
+    ['bytes that are not HTTP', 'nonsense\r\n\r\n'],
+    ['a malformed header', 'GET /stock/b HTTP/1.1\r\nhost: a\r\nx-a : b\r\n\r\n'],
+    ['an invalid chunk size', `POST /stock/b HTTP/1.1\r\nhost: a\r\n${AUTHORIZATION}transfer-encoding: chunked\r\n\r\nzz\r\n`],
+    ['the CONNECT method', 'CONNECT other:80 HTTP/1.1\r\nhost: a\r\n\r\n']
+  ])('with %s are refused after the answer to an earlier one', async (_, text) => {
+    const { callerAddress, runs } = await startSlow()
+    const received = await sendRaw(callerAddress, FIRST + text)
+    expect(listStatuses(received)).toEqual(['200', '400'])
+    expect(received).toContain('ran /stock/a')
+    expect(runs).toEqual(['/stock/a'])
+  })
+
+  // Guards against requests that run but get no answer, because the response to an earlier one closes the connection.
+  it('are not followed by others on their connection', async () => {
+    const { callerAddress, runs } = await startSlow()
+    const refused = `GET /stock/../b HTTP/1.1\r\nhost: a\r\n${AUTHORIZATION}content-length: 3\r\n\r\n`
+    expect(listStatuses(await sendRaw(callerAddress, `${FIRST}${refused}abc${FIRST}`))).toEqual(['200', '400'])
+    expect(runs).toEqual(['/stock/a'])
+  })
+
+  // Guards against an answer that says 'not run' for a request that a backend server has begun to run.
+  it('with an invalid chunk size far into the body get no answer', async () => {
+    const { callerAddress, runs } = await startSlow()
+    const head = `POST /stock/b HTTP/1.1\r\nhost: a\r\n${AUTHORIZATION}transfer-encoding: chunked\r\n\r\n`
+    const socket = connect(Number(callerAddress.split(':')[1]), '127.0.0.1')
+    resources.add(() => { socket.destroy() })
+    let received = ''
+    socket.on('data', (data) => { received += data.toString() }).on('error', () => {})
+    socket.write(`${head}20000\r\n${'x'.repeat(0x20000)}\r\n`)
+    await waitUntil(() => runs.length === 1)
+    socket.write('zz\r\n')
+    await once(socket, 'close')
+    expect(received).toBe('')
+  })
 })
--- a/packages/runtime/src/handleMalformedRequests.ts
+++ b/packages/runtime/src/handleMalformedRequests.ts
@@ -1,49 +1,45 @@
 import { resultCodes } from '@lavenderturn/types'
 import type { Server, ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
-import { formatProblem } from './sendProblem'
+import { rejectUnreadable } from './connection/rejectUnreadable'
+import { formatProblem, sendProblem } from './sendProblem'
 
 /** Status for a request whose headers exceed the limit of the parser. */
 const HEADERS_TOO_LARGE_STATUS = 431
 
+/** @internal */
+export interface HandleMalformedRequestsOptions {
+  /** Whether a request, whose body is still arriving, may already be running. */
+  readonly mayRun: (res: ServerResponse) => boolean
+}
+
 /**
  * Answers requests that the HTTP parser rejects, and `CONNECT` requests.
  *
- * @param server - an HTTP server
+ * @param server - an HTTP server whose responses are added to those of their connections
+ * @param options - how to tell which requests may be running
  * @internal
  */
-export function handleMalformedRequests (server: Server): void {
-  server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-    const answer = findCurrentResponse(socket)
-    // The request was refused after its head. The refusal has been written, but not yet sent.
-    if (answer?.writableEnded === true && socket.writable) {
-      socket.end()
-      return
-    }
-    // The caller has disconnected, or a second answer would corrupt the one that has started.
-    if (err.code === 'ECONNRESET' || !socket.writable || answer?.headersSent === true) {
-      socket.destroy()
-      return
+export function handleMalformedRequests (server: Server, { mayRun }: HandleMalformedRequestsOptions): void {
+  rejectUnreadable(server, {
+    composeRefusal: (code) => {
+      return composeProblem(code === 'HPE_HEADER_OVERFLOW' ? HEADERS_TOO_LARGE_STATUS : resultCodes.malformedRequest.status)
+    },
+    refuseBody: (res) => {
+      // The result code of a malformed request says that it has not run, and a closed connection says nothing.
+      if (mayRun(res)) res.req.socket.destroy()
+      else sendProblem({ req: res.req, res, result: 'malformedRequest' })
     }
-    writeProblem(
-      socket, err.code === 'HPE_HEADER_OVERFLOW' ? HEADERS_TOO_LARGE_STATUS : resultCodes.malformedRequest.status
-    )
   })
-  server.on('connect', (_, socket) => { writeProblem(socket, resultCodes.malformedRequest.status) })
-}
-
-function findCurrentResponse (socket: Duplex): ServerResponse | null | undefined {
-  return (socket as { _httpMessage?: ServerResponse | null })._httpMessage
 }
 
-function writeProblem (socket: Duplex, status: number): void {
+function composeProblem (status: number): string {
   const body = formatProblem({ result: 'malformedRequest' })
-  socket.end([
+  return [
     `HTTP/1.1 ${status} Bad Request`,
     'content-type: application/problem+json',
     `content-length: ${Buffer.byteLength(body)}`,
     'connection: close',
     '',
     body
-  ].join('\r\n'))
+  ].join('\r\n')
 }
--- a/packages/runtime/src/sendProblem.ts
+++ b/packages/runtime/src/sendProblem.ts
@@ -1,5 +1,6 @@
 import { type RequestId, type ResultCodeName, resultCodes, type ExecutionState } from '@lavenderturn/types'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { ConnectionResponses } from './connection/ConnectionResponses'
 import { endResponse } from './endResponse'
 import { headers } from './headers'
 
@@ -25,7 +26,7 @@
 export function sendProblem ({ req, res, result, run, detail, requestId }: Problem): void {
   const { status } = resultCodes[result]
   const body = formatProblem({ result, run, detail })
-  if (!req.complete) res.shouldKeepAlive = false
+  if (!req.complete) closeAfter(req, res)
   res.writeHead(status, {
     'content-type': 'application/problem+json',
     'content-length': Buffer.byteLength(body),
@@ -34,6 +35,14 @@
   endResponse({ req, res, body })
 }
 
+/** Closes the connection after the response, so that it must be known that no request behind it is run. */
+function closeAfter ({ socket }: IncomingMessage, res: ServerResponse): void {
+  res.shouldKeepAlive = false
+  const responses = ConnectionResponses.of(socket)
+  // Servers of the control ports do not add their responses.
+  if (responses.unanswered > 0) responses.finish()
+}
+
 /**
  * Formats problem details.
  *
