Don't close a connection whose response its caller has not read

Seen by callers: a response that they read slowly breaks off when the node has as many connections as it takes and others connect (the review saw the place by reading).

Cause: `closeIdleConnections` of Node counts a connection as idle once its response has been handed over, also while most of it waits to be read, and closes it with the rest. It is the class of the refusal in the place of an answer: something is done to a connection without regard to the responses that it still owes.

--- a/packages/mesh-runtime/src/admission/createForwardServer.ts
+++ b/packages/mesh-runtime/src/admission/createForwardServer.ts
@@ -1,5 +1,5 @@
 import type { ReservationId } from '@lavenderturn/mesh'
-import type { BodyBuffer } from '@lavenderturn/runtime'
+import { type BodyBuffer, ConnectionResponses } from '@lavenderturn/runtime'
 import { millis, toId } from '@lavenderturn/types'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { BodyEvictedError } from '../body/bodyErrors'
@@ -56,6 +56,7 @@
     onDropped: (count) => { runtime.dispatch({ slice: 'gateway', type: 'connectionsDropped', port: 'nodes', count }) }
   })
   server.on('request', (req, res) => {
+    ConnectionResponses.of(req.socket).add(res)
     const target = new ConnectionReplyTarget(res)
     if (req.url === CONFIGURATION_PATH && req.headers[forwardHeaders.reservation] === undefined) {
       sendConfiguration(options, res)
--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
 
 /** Time for a client to read the last bytes before its connection is closed. */
 const LINGER_TIMEOUT_MS = 2_000
@@ -7,7 +7,7 @@
 /** Requests that a client may send behind the last one that is answered. Node keeps them until the connection ends. */
 const MAX_IGNORED_REQUESTS = 1_024
 
-const connections = new WeakMap<Duplex, ConnectionResponses>()
+const connections = new WeakMap<Socket, ConnectionResponses>()
 
 /**
  * The responses of one connection that are not complete, in the order of their requests. A client may send requests
@@ -22,8 +22,10 @@
   private lastBytes = ''
   private ignored = 0
   private addedCount = 0
+  /** Bytes that had been read when the last response was complete. */
+  private bytesReadBefore = 0
 
-  private constructor (private readonly socket: Duplex) {
+  private constructor (private readonly socket: Socket) {
     socket.once('close', () => { this.close() })
   }
 
@@ -31,7 +33,7 @@
    * @param socket - a connection of an HTTP server
    * @returns its responses
    */
-  static of (socket: Duplex): ConnectionResponses {
+  static of (socket: Socket): ConnectionResponses {
     let responses = connections.get(socket)
     if (responses === undefined) {
       responses = new ConnectionResponses(socket)
@@ -50,6 +52,11 @@
     return this.open.size
   }
 
+  /** Whether all requests of the connection, at least one, have been answered, and none has begun since. */
+  get isIdle (): boolean {
+    return this.addedCount > 0 && this.open.size === 0 && this.socket.bytesRead === this.bytesReadBefore
+  }
+
   /** The response to the newest request, if it is not complete. */
   get newest (): ServerResponse | undefined {
     return [...this.open].at(-1)
@@ -70,6 +77,7 @@
     this.open.add(res)
     res.once('close', () => {
       this.open.delete(res)
+      this.bytesReadBefore = this.socket.bytesRead
       this.endIfComplete()
     })
     return true
--- a/packages/runtime/src/connection/rejectUnreadable.ts
+++ b/packages/runtime/src/connection/rejectUnreadable.ts
@@ -1,5 +1,5 @@
 import type { Server, ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
 import { ConnectionResponses } from './ConnectionResponses'
 import { decideRejection, type RejectedInput } from './decideRejection'
 
@@ -30,7 +30,8 @@
  * @public
  */
 export function rejectUnreadable (server: Server, options: RejectUnreadableOptions): void {
-  server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+  server.on('clientError', (err: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket
     const code = err.code ?? err.name
     const { added } = ConnectionResponses.of(socket)
     // The connection has failed.
@@ -39,7 +40,8 @@
     else reject(options, code, socket)
   })
   // Node destroys the connection if there is no listener, together with the responses to earlier requests.
-  server.on('connect', (_, socket) => {
+  server.on('connect', (_, stream) => {
+    const socket = stream as Socket
     socket.on('error', () => {}).resume()
     reject(options, CONNECT_REQUEST, socket)
   })
@@ -49,14 +51,14 @@
  * Refuses a head that took too long, unless it is complete by now. The check of the heads runs before the sockets are
  * read, so that after a time in which the process stood still it also finds those whose rest has been waiting there.
  */
-function rejectLateHead (options: RejectUnreadableOptions, socket: Duplex, added: number): void {
+function rejectLateHead (options: RejectUnreadableOptions, socket: Socket, added: number): void {
   if (ConnectionResponses.of(socket).added === added && socket.writable) reject(options, HEAD_TIMEOUT, socket)
 }
 
 function reject (
   { composeRefusal, refuseBody, onRejected }: RejectUnreadableOptions,
   code: string,
-  socket: Duplex
+  socket: Socket
 ): void {
   const responses = ConnectionResponses.of(socket)
   const { newest, unanswered } = responses
