A response that ends before its request was read is whole only if framed

Reported by operators of other systems: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the client got the part as a complete answer.

Here: a reset that is seen as such was recognised already, at once and later (tests). Not recognised was one that follows the end of the server's side, as when a process ends while nothing of the upload waits to be read: the part reached the caller as whole.

Cause: Node closes the connection when the server closes its side, drops the rest of the request, and reports a normal end.

Change: a body that only ends with its connection counts as complete only if the whole request had been sent by then.

--- a/packages/mesh-runtime/src/admission/BackendExchange.test.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.test.ts
@@ -1,10 +1,11 @@
-import { ExchangeAgent } from '@lavenderturn/runtime'
+import { BodyBuffer, ExchangeAgent } from '@lavenderturn/runtime'
 import { type Address, toId } from '@lavenderturn/types'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { receiveAnswer } from '../fixtures/receiveAnswer'
 import { runBackendExchange } from '../fixtures/runBackendExchange'
+import type { BackendResult } from './BackendExchange'
 
 const servers: Server[] = []
 
@@ -47,6 +48,46 @@
     expect(await receiveAnswer(answer)).toBe('part of')
   })
 
+  describe('with a response without a length that is sent before the whole request was read', () => {
+    const UPLOAD_BYTES = 20_000_000
+
+    /** Longer than the exchange takes to read the end of the response. */
+    const RESET_DELAY_MS = 10
+
+    async function runUpload (respond: (socket: Socket) => void): Promise<BackendResult> {
+      const body = new BodyBuffer()
+      body.add(Buffer.alloc(UPLOAD_BYTES, 'm'))
+      return await runBackendExchange({ address: await startServer(respond), method: 'POST', body })
+    }
+
+    const resetLater = (socket: Socket): void => { setTimeout(() => { socket.resetAndDestroy() }, RESET_DELAY_MS) }
+
+    // Guards against the part of a response that reaches the caller as a whole one.
+    it.each<readonly [string, (socket: Socket) => void]>([
+      ['resets the connection at once', (socket) => { socket.resetAndDestroy() }],
+      ['resets the connection after a while', resetLater],
+      ['closes its side and then resets the connection', (socket) => { resetLater(socket.end()) }],
+      ['closes its side and reads no further', (socket) => { socket.end() }]
+    ])('treats it as truncated if the server %s', async (_, act) => {
+      const { outcome } = await runUpload((socket) => {
+        if (socket.isPaused()) return
+        socket.pause()
+        socket.write(RESPONSE_WITHOUT_LENGTH)
+        act(socket)
+      })
+      expect(outcome).toMatchObject({ kind: 'broken' })
+    })
+
+    it('treats it as complete if the server reads the rest and then closes', async () => {
+      const { outcome, answer } = await runUpload((socket) => {
+        if (socket.bytesWritten === 0) socket.write(RESPONSE_WITHOUT_LENGTH)
+        if (socket.bytesRead > UPLOAD_BYTES) socket.end()
+      })
+      expect(outcome).toEqual({ kind: 'answered', failed: false, status: 200 })
+      expect(await receiveAnswer(answer)).toBe('part of')
+    })
+  })
+
   it('treats a response that is shorter than its Content-Length as truncated', async () => {
     const address = await startServer((socket) => {
       socket.end(RESPONSE_WITHOUT_LENGTH.replace('\r\n\r\n', '\r\nContent-Length: 99\r\n\r\n'))
--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -61,6 +61,11 @@
   private connected = false
   private answered = false
   private socketFailed = false
+  /**
+   * Whether the server closed its side before the whole request was sent. Node then closes the connection, so that a
+   * reset which follows is not seen.
+   */
+  private endedEarly = false
   private flooded = false
   private oversized = false
   private isStreaming = false
@@ -141,7 +146,7 @@
       isReusable: true,
       // Node reports a normal end for a response without a length even if its connection is reset. The error event of
       // the request comes first.
-      hasFailed: () => this.socketFailed
+      hasFailed: () => this.socketFailed || (this.endedEarly && isDelimitedByClose(message))
     })
   }
 
@@ -195,9 +200,12 @@
     // When data and a reset arrive together, libuv reports the reset as a normal end of the stream. The socket still
     // tells the two apart, because a connection that was reset has no peer address. Node's own `end` listener ends the
     // socket, so this listener has to run before it.
-    const detectReset = (): void => { if (socket.remotePort === undefined) this.socketFailed = true }
-    socket.prependListener('end', detectReset)
-    request.once('close', () => { socket.off('end', detectReset) })
+    const inspectEnd = (): void => {
+      if (socket.remotePort === undefined) this.socketFailed = true
+      this.endedEarly = !request.writableFinished
+    }
+    socket.prependListener('end', inspectEnd)
+    request.once('close', () => { socket.off('end', inspectEnd) })
     if (!socket.connecting) {
       this.connected = true
       return
@@ -211,6 +219,11 @@
   }
 }
 
+/** @returns whether the body of a response ends with its connection, as it has no length and is not sent in chunks */
+function isDelimitedByClose ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+}
+
 function composeHeaders (headers: HeaderList, method: string, body: BodyBuffer): Record<string, string | string[]> {
   const grouped = groupHeaders(headers)
   const hasBody = body.size > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH'
