Put the refusals of unreadable input behind an abstract class

The two programs refuse in different forms, which were passed as callbacks; behaviour that varies is an abstract class here.

--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -17,6 +17,7 @@
 import type { CallerRequestFields, RequestProtocol } from '../protocol/RequestProtocol'
 import { writeResponse } from '../writeResponse'
 import { CallerConnections } from './CallerConnections'
+import { CallerInputRefuser } from './CallerInputRefuser'
 import type { GatewayHandler } from './GatewayHandler'
 
 /** Limits that apply until a configuration has been read. */
@@ -33,12 +34,6 @@
 /** Interval between checks for connections whose head takes too long. */
 const HEAD_CHECK_INTERVAL_MS = 1_000
 
-/** Responses to what is not a request, by the error of the HTTP parser. */
-const UNREADABLE_STATUSES: ReadonlyMap<string, string> = new Map([
-  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
-  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout']
-])
-
 /** @internal */
 export interface CallerServerOptions {
   readonly runtime: MeshRuntime
@@ -82,13 +77,9 @@
     this.applyLimits(DEFAULT_LIMITS)
     this.server.on('request', (req, res) => { this.accept(req, res) })
     closeIdleAfterReading(this.server)
-    rejectUnreadable(this.server, {
-      composeRefusal,
-      refuseBody: (res) => { this.refuse(res, 'malformedRequest', 'the body cannot be read') },
-      onRejected: ({ code, unanswered }) => {
-        runtime.dispatch({ slice: 'gateway', type: 'inputRejected', code, unanswered })
-      }
-    })
+    rejectUnreadable(this.server, new CallerInputRefuser({
+      runtime, refuseMalformed: (res, detail) => { this.refuse(res, 'malformedRequest', detail) }
+    }))
   }
 
   /** Sends `Connection: close` with all further responses. */
@@ -208,12 +199,6 @@
   ConnectionResponses.of(req.socket).finish()
 }
 
-/** @returns a refusal of what is not a request */
-function composeRefusal (code: string): string {
-  const status = UNREADABLE_STATUSES.get(code) ?? '400 Bad Request'
-  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
-}
-
 function parseHost ({ headers }: RequestHead): string {
   const host = headers.find(([name]) => name.toLowerCase() === 'host')?.[1] ?? ''
   return host.replace(/:\d+$/, '').toLowerCase()
--- a/packages/runtime/src/admission/createForwardServer.ts
+++ b/packages/runtime/src/admission/createForwardServer.ts
@@ -39,8 +39,7 @@
   })
   server.on('request', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: false }) })
   server.on('checkContinue', (req, res) => { acceptAttempt(options, { req, res, expectsContinue: true }) })
-  const { handler } = options
-  handleMalformedRequests(server, { mayRun: (res) => handler.hasExchange(res) })
+  handleMalformedRequests(server, options.handler)
   return server
 }
 
--- a/packages/runtime/src/connection/rejectUnreadable.ts
+++ b/packages/runtime/src/connection/rejectUnreadable.ts
@@ -1,7 +1,8 @@
-import type { Server, ServerResponse } from 'node:http'
+import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { ConnectionResponses } from './ConnectionResponses'
-import { decideRejection, type RejectedInput } from './decideRejection'
+import { decideRejection } from './decideRejection'
+import type { InputRefuser } from './InputRefuser'
 
 /** Code with which Node reports that the head of a request took too long. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
@@ -9,41 +10,28 @@
 /** Code for a request for a tunnel, which is not one that can be forwarded. */
 const CONNECT_REQUEST = 'CONNECT'
 
-/** @public */
-export interface RejectUnreadableOptions {
-  /**
-   * @param code - error code of the parser
-   * @returns a complete response that closes the connection
-   */
-  readonly composeRefusal: (code: string) => string
-  /** Refuses a request whose body cannot be read. */
-  readonly refuseBody: (res: ServerResponse) => void
-  /** Called for each rejection. */
-  readonly onRejected?: (input: RejectedInput) => void
-}
-
 /**
  * Refuses what clients send that is no request.
  *
  * @param server - an HTTP server whose responses are added to those of their connections
- * @param options - the refusals
+ * @param refuser - writes the refusals
  * @public
  */
-export function rejectUnreadable (server: Server, options: RejectUnreadableOptions): void {
+export function rejectUnreadable (server: Server, refuser: InputRefuser): void {
   server.on('clientError', (err: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket
     const code = err.code ?? err.name
     const { added } = ConnectionResponses.of(socket)
     // The connection has failed.
     if (!socket.writable) socket.destroy()
-    else if (code === HEAD_TIMEOUT) setImmediate(() => { rejectLateHead(options, socket, added) })
-    else reject(options, code, socket)
+    else if (code === HEAD_TIMEOUT) setImmediate(() => { rejectLateHead(refuser, socket, added) })
+    else reject(refuser, code, socket)
   })
   // Node destroys the connection if there is no listener, together with the responses to earlier requests.
   server.on('connect', (_, stream) => {
     const socket = stream as Socket
     socket.on('error', () => {}).resume()
-    reject(options, CONNECT_REQUEST, socket)
+    reject(refuser, CONNECT_REQUEST, socket)
   })
 }
 
@@ -51,20 +39,16 @@
  * Refuses a head that took too long, unless it is complete by now. The check of the heads runs before the sockets are
  * read, so that after a time in which the process stood still it also finds those whose rest has been waiting there.
  */
-function rejectLateHead (options: RejectUnreadableOptions, socket: Socket, added: number): void {
-  if (ConnectionResponses.of(socket).added === added && socket.writable) reject(options, HEAD_TIMEOUT, socket)
+function rejectLateHead (refuser: InputRefuser, socket: Socket, added: number): void {
+  if (ConnectionResponses.of(socket).added === added && socket.writable) reject(refuser, HEAD_TIMEOUT, socket)
 }
 
-function reject (
-  { composeRefusal, refuseBody, onRejected }: RejectUnreadableOptions,
-  code: string,
-  socket: Socket
-): void {
+function reject (refuser: InputRefuser, code: string, socket: Socket): void {
   const responses = ConnectionResponses.of(socket)
   const { newest, unanswered } = responses
   const body = newest === undefined || newest.req.complete ? undefined : { isAnswered: newest.headersSent }
   const input = { code, unanswered, body }
-  onRejected?.(input)
+  refuser.report(input)
   switch (decideRejection(input)) {
     case 'close':
       socket.destroy()
@@ -73,10 +57,10 @@
       responses.finish()
       break
     case 'refuse':
-      responses.finish(composeRefusal(code))
+      responses.finish(refuser.composeRefusal(code))
       break
     case 'refuseBody':
       responses.finish()
-      refuseBody(newest!)
+      refuser.refuseBody(newest!)
   }
 }
--- a/packages/runtime/src/gateway/createCallerServer.ts
+++ b/packages/runtime/src/gateway/createCallerServer.ts
@@ -58,7 +58,7 @@
       setImmediate(() => { throw err })
     })
   })
-  handleMalformedRequests(server, { mayRun: (res) => handler.hasExchange(res) })
+  handleMalformedRequests(server, handler)
   closeIdleAfterReading(server)
   return server
 }
