Count the memory of requests that are ignored

Requests behind the last one that is answered are kept by Node until their connection ends, at most 1,024 a connection. Unlike those that wait, they did not count towards the node's memory, so that many connections could fill it.

Measured: the new test of platform/pipelining.test.ts fails without the change (nothing is counted within 10 s), passes now; the other 20 tests of pipelining and unreadableInput pass.

--- a/packages/mesh-runtime/src/gateway/CallerConnections.ts
+++ b/packages/mesh-runtime/src/gateway/CallerConnections.ts
@@ -10,7 +10,7 @@
 /** Requests of one connection that may wait. A connection with more is closed. */
 const MAX_WAITING_REQUESTS = 1_024
 
-/** Memory of a request that waits, without its body: its objects in the HTTP parser and in Node. */
+/** Memory of a request that waits or is ignored, without its body: its objects in the HTTP parser and in Node. */
 const WAITING_REQUEST_BYTES = 4_096
 
 /** @internal */
@@ -33,13 +33,25 @@
    * @param start - handles it
    */
   add (res: ServerResponse, start: () => void): void {
-    const { socket } = res.req
+    this.find(res).add(res, start)
+  }
+
+  /**
+   * Counts the memory of a request that is not handled, because its connection ends before it.
+   *
+   * @param res - its response
+   */
+  ignore (res: ServerResponse): void {
+    this.find(res).ignore()
+  }
+
+  private find ({ req: { socket } }: ServerResponse): CallerConnection {
     let connection = this.connections.get(socket)
     if (connection === undefined) {
       connection = new CallerConnection(socket, this.options)
       this.connections.set(socket, connection)
     }
-    connection.add(res, start)
+    return connection
   }
 }
 
@@ -75,6 +87,10 @@
     if (this.waiting.length > MAX_WAITING_REQUESTS) this.overflow()
   }
 
+  ignore (): void {
+    this.share.hold(WAITING_REQUEST_BYTES)
+  }
+
   private startNext (): void {
     if (this.socket.destroyed) return
     const next = this.waiting.shift()
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -95,7 +95,10 @@
   private accept (req: IncomingMessage, res: ServerResponse): void {
     const { runtime } = this.options
     const arrivedAt = performance.now()
-    if (!ConnectionResponses.of(req.socket).add(res)) return
+    if (!ConnectionResponses.of(req.socket).add(res)) {
+      this.connections.ignore(res)
+      return
+    }
     runtime.dispatch({ slice: 'gateway', type: 'exchangeOpened' })
     res.once('close', () => { runtime.dispatch({ slice: 'gateway', type: 'exchangeClosed' }) })
     this.connections.add(res, () => { void this.receive(req, res, arrivedAt) })
