Report unreadable input once for each connection

The HTTP parser reports its error again with each further piece, so that one caller could fill the log. What comes on a connection that ends is discarded, and a caller that closes its side of one leaves, as on other connections.

--- a/packages/runtime/src/connection/ConnectionResponses.ts
+++ b/packages/runtime/src/connection/ConnectionResponses.ts
@@ -18,7 +18,7 @@
  */
 export class ConnectionResponses {
   private readonly open = new Set<ServerResponse>()
-  private isFinishing = false
+  private finishing = false
   private lastBytes = ''
   private ignored = 0
   private addedCount = 0
@@ -52,6 +52,11 @@
     return this.open.size
   }
 
+  /** Whether the connection ends after its responses. */
+  get isFinishing (): boolean {
+    return this.finishing
+  }
+
   /** Whether all requests of the connection, at least one, have been answered, and none has begun since. */
   get isIdle (): boolean {
     return this.addedCount > 0 && this.open.size === 0 && this.socket.bytesRead === this.bytesReadBefore
@@ -69,7 +74,7 @@
    * @returns false if the request must not be handled: it gets no response, so that its caller sends it again
    */
   add (res: ServerResponse): boolean {
-    if (this.isFinishing) {
+    if (this.finishing) {
       this.ignore(res)
       return false
     }
@@ -89,11 +94,13 @@
    * @param lastBytes - written after them; by default the newest response says that the connection closes
    */
   finish (lastBytes = ''): void {
-    if (this.isFinishing) return
-    this.isFinishing = true
+    if (this.finishing) return
+    this.finishing = true
     this.lastBytes = lastBytes
     const { newest } = this
     if (lastBytes === '' && newest?.headersSent === false) newest.shouldKeepAlive = false
+    // As on other connections, a client that closes its side leaves. The parser, which may have failed, does not tell.
+    this.socket.once('end', () => { if (this.open.size > 0) this.socket.destroy() })
     this.endIfComplete()
   }
 
@@ -106,7 +113,7 @@
 
   private endIfComplete (): void {
     const { socket } = this
-    if (!this.isFinishing || this.open.size > 0 || !socket.writable) return
+    if (!this.finishing || this.open.size > 0 || !socket.writable) return
     socket.end(this.lastBytes)
     // Closing a connection with unread data resets it, and the last bytes can be lost.
     setTimeout(() => { socket.destroy() }, LINGER_TIMEOUT_MS).unref()
--- a/packages/runtime/src/connection/decideRejection.ts
+++ b/packages/runtime/src/connection/decideRejection.ts
@@ -6,12 +6,16 @@
   readonly unanswered: number
   /** Present if the bytes belong to the body of the newest request: whether the head of its response has been sent. */
   readonly body?: { readonly isAnswered: boolean }
+  /** Whether it was decided before that the connection ends after its responses. */
+  readonly isFinishing: boolean
 }
 
 /** What happens to the connection. @public */
 export type Rejection =
   /** The client has left: the connection is closed, whatever is unanswered. */
   | 'close'
+  /** The bytes are discarded, since the connection ends anyway. */
+  | 'discard'
   /** The connection ends after the responses to the earlier requests, without further bytes. */
   | 'finish'
   /** The same, with a refusal as the last response. */
@@ -33,7 +37,8 @@
  * @returns what happens to the connection
  * @internal
  */
-export function decideRejection ({ code, unanswered, body }: RejectedInput): Rejection {
+export function decideRejection ({ code, unanswered, body, isFinishing }: RejectedInput): Rejection {
+  if (isFinishing && body?.isAnswered !== false) return 'discard'
   const earlier = body === undefined ? unanswered : unanswered - 1
   if (code === INCOMPLETE_REQUEST && earlier > 0) return 'close'
   if (code === BYTES_AFTER_LAST_REQUEST) return 'finish'
--- a/packages/runtime/src/connection/rejectUnreadable.ts
+++ b/packages/runtime/src/connection/rejectUnreadable.ts
@@ -45,11 +45,14 @@
 
 function reject (refuser: InputRefuser, code: string, socket: Socket): void {
   const responses = ConnectionResponses.of(socket)
-  const { newest, unanswered } = responses
+  const { newest, unanswered, isFinishing } = responses
   const body = newest === undefined || newest.req.complete ? undefined : { isAnswered: newest.headersSent }
-  const input = { code, unanswered, body }
+  const input = { code, unanswered, body, isFinishing }
+  const rejection = decideRejection(input)
+  // The parser reports its error again with each further piece.
+  if (rejection === 'discard') return
   refuser.report(input)
-  switch (decideRejection(input)) {
+  switch (rejection) {
     case 'close':
       socket.destroy()
       break
