--- a/packages/mesh-runtime/src/admission/BackendExchange.ts
+++ b/packages/mesh-runtime/src/admission/BackendExchange.ts
@@ -145,7 +145,7 @@
       maxPieces: MAX_RESPONSE_PIECES,
       isReusable: true,
       // Node reports a normal end for a response without a length even if its connection is reset. The error event of
-      // the request comes first.
+      // the request comes first, unless the server closed its side before the reset.
       hasFailed: () => this.socketFailed || (this.endedEarly && isDelimitedByClose(message))
     })
   }
--- a/packages/mesh-runtime/src/admission/createForwardServer.ts
+++ b/packages/mesh-runtime/src/admission/createForwardServer.ts
@@ -56,6 +56,7 @@
     onDropped: (count) => { runtime.dispatch({ slice: 'gateway', type: 'connectionsDropped', port: 'nodes', count }) }
   })
   server.on('request', (req, res) => {
+    // `limitConnections` closes no connection that still owes this response.
     ConnectionResponses.of(req.socket).add(res)
     const target = new ConnectionReplyTarget(res)
     if (req.url === CONFIGURATION_PATH && req.headers[forwardHeaders.reservation] === undefined) {
--- a/packages/mesh-runtime/src/gateway/CallerServer.ts
+++ b/packages/mesh-runtime/src/gateway/CallerServer.ts
@@ -82,7 +82,7 @@
     }))
   }
 
-  /** Sends `Connection: close` with all further responses. */
+  /** From now on ends each connection with the next request that is read on it. */
   closeKeptConnections (): void {
     this.closing = true
   }
@@ -197,7 +197,7 @@
   }
 }
 
-/** Ends the connection of a response once that to the newest request is complete, so that none is run in vain. */
+/** Ends the connection of a response after that to the newest request, so that no request runs without an answer. */
 function endConnection ({ req }: ServerResponse): void {
   ConnectionResponses.of(req.socket).finish()
 }
--- a/packages/mesh/src/gateway/GatewayEvent.ts
+++ b/packages/mesh/src/gateway/GatewayEvent.ts
@@ -41,9 +41,9 @@
 /** The HTTP parser rejected bytes of a caller, or they did not become a request in time. @public */
 export interface InputRejected extends GatewayEventBase {
   readonly type: 'inputRejected'
-  /** Error code of the HTTP parser or of the connection. */
+  /** Error code of the HTTP parser. */
   readonly code: string
-  /** Requests that the caller sent before on the same connection and that have no complete response yet. */
+  /** Requests of the connection without a complete response, including one whose body is rejected. */
   readonly unanswered: number
 }
 
--- a/packages/runtime/src/sendProblem.ts
+++ b/packages/runtime/src/sendProblem.ts
@@ -35,7 +35,7 @@
   endResponse({ req, res, body })
 }
 
-/** Closes the connection after the response, so that it must be known that no request behind it is run. */
+/** Closes the connection after the response. Requests behind it must not be handled, since they get no answer. */
 function closeAfter ({ socket }: IncomingMessage, res: ServerResponse): void {
   res.shouldKeepAlive = false
   const responses = ConnectionResponses.of(socket)
