Log and measure idle servers and reported revisions

Cause: the logs did not tell a server that nobody asks from one whose admission refuses, nor a node that was not told of a revision from one that was told and did not get it.

Change: 'backend server was idle' (debug) with the refusals meanwhile, sinceDispatchMs at the end of a node, sinceReportMs with a configuration in force, and two gauges. No decision changes.

--- a/packages/mesh-runtime/src/metrics/createMetricsServer.ts
+++ b/packages/mesh-runtime/src/metrics/createMetricsServer.ts
@@ -54,16 +54,18 @@
 
 function collectGauges ({ runtime, sink }: MetricsServerOptions): MetricSeries[] {
   const {
-    requests, members, revision, unreadable, unreadableParts, evacuated, era, ignored
+    requests, members, revision, reported, unreadable, unreadableParts, evacuated, era, ignored, idleMs
   } = runtime.query((state) => ({
     requests: state.gateway.requests.size,
     members: state.directory.members.size,
     revision: state.configuration.current?.revision ?? 0,
+    reported: state.configuration.relay.reported?.revision ?? 0,
     unreadable: state.configuration.unreadable === undefined ? 0 : 1,
     unreadableParts: state.configuration.current?.unreadableParts.length ?? 0,
     evacuated: state.configuration.evacuated.size,
     era: state.configuration.era,
-    ignored: state.configuration.ignoredReadings
+    ignored: state.configuration.ignoredReadings,
+    idleMs: state.admission.server === undefined ? 0 : state.now - state.admission.lastDispatchAt
   }))
   const gauge = (name: string, help: string, value: number): MetricSeries => {
     return { name, help, values: [{ labels: {}, value }] }
@@ -74,6 +76,10 @@
     gauge('lavenderturn_mesh_requests_open', 'Requests in flight at the gateway', requests),
     gauge('lavenderturn_mesh_members', 'Nodes that are known, this one included', members),
     gauge('lavenderturn_mesh_configuration_revision', 'Revision in force; 0 before the first', revision),
+    gauge(
+      'lavenderturn_mesh_configuration_revision_reported', 'Latest revision that another node has reported', reported
+    ),
+    gauge('lavenderturn_mesh_server_idle_seconds', 'Time since a request was dispatched to the backend server', idleMs / MILLISECONDS_PER_SECOND),
     gauge(
       'lavenderturn_mesh_configuration_unreadable', '1 while the newest configuration cannot be read', unreadable
     ),
--- a/packages/mesh/src/admission/AdmissionState.ts
+++ b/packages/mesh/src/admission/AdmissionState.ts
@@ -108,6 +108,8 @@
   readonly dispatchTimes: Millis[]
   /** When a request was last dispatched to the server. */
   lastDispatchAt: Millis
+  /** Slot requests that were refused since then. */
+  refusedSinceDispatch: number
   /** Moving average of the service time of each route in milliseconds. */
   readonly routeTimes: Map<RouteId, number>
   /** Moving average of the service time of all requests in milliseconds; 0 before the first. */
@@ -144,6 +146,7 @@
     reservations: new Map(),
     dispatchTimes: [],
     lastDispatchAt: millis(0),
+    refusedSinceDispatch: 0,
     routeTimes: new Map(),
     serviceMs: 0,
     errorRate: 0,
--- a/packages/mesh/src/admission/findColdStartDelay.ts
+++ b/packages/mesh/src/admission/findColdStartDelay.ts
@@ -82,6 +82,7 @@
   const { admission, now } = state
   if (now - admission.lastDispatchAt > MAX_IDLE_PAUSE) admission.busySince = now
   admission.lastDispatchAt = now
+  admission.refusedSinceDispatch = 0
   admission.dispatchTimes.push(now)
   recordLimitedRequest(state)
   recordExposure(state)
--- a/packages/mesh/src/admission/grantQueued.ts
+++ b/packages/mesh/src/admission/grantQueued.ts
@@ -62,6 +62,7 @@
   { id, gateway }: Pick<Reservation, 'id' | 'gateway'>,
   refusal: SlotRefusal
 ): MeshEffect {
+  state.admission.refusedSinceDispatch += 1
   const load = summarizeLoad(state)
   return {
     slice: 'peer',
--- a/packages/mesh/src/admission/startWork.ts
+++ b/packages/mesh/src/admission/startWork.ts
@@ -7,6 +7,7 @@
 import { DEFAULT_SERVICE_MS, MIN_OVERDUE_DELAY, OVERDUE_FACTOR } from './admissionTimings'
 import type { Reservation } from './AdmissionState'
 import { findServiceTime } from './endWork'
+import { describeIdlePeriod } from './describeIdlePeriod'
 import { findUnavailableReason } from './findUnavailableReason'
 import { recordDispatch } from './findColdStartDelay'
 import { voidReservation } from './voidReservation'
@@ -43,9 +44,11 @@
     deadline: addMillis(now, timeout),
     isRepeated: false
   }
+  const idle = describeIdlePeriod(state)
   recordDispatch(state)
   const usualMs = findServiceTime(state, route) ?? DEFAULT_SERVICE_MS
   return [
+    ...idle,
     { slice: 'timer', type: 'clear', id: toId(`grant/${id}`) },
     {
       slice: 'admission',
--- a/packages/mesh/src/configuration/RelayState.ts
+++ b/packages/mesh/src/configuration/RelayState.ts
@@ -1,4 +1,4 @@
-import type { Branded, Millis, NodeId } from '@lavenderturn/types'
+import type { Branded, Millis, NodeId, Revision } from '@lavenderturn/types'
 import type { Confirmation } from './ConfigurationState'
 
 /** Identifies a query for a confirmation. It cannot be guessed, so only the node that was asked can reply. @public */
@@ -26,6 +26,8 @@
   readonly faults: Map<NodeId, RelayFault>
   /** When any node last replied. */
   repliedAt: Millis
+  /** Latest revision that another node has reported, and when the first report of it came. */
+  reported?: { readonly revision: Revision, readonly at: Millis }
   /** Until when a fetch of a configuration from another node is in progress. */
   fetchUntil: Millis
   nextQuery: number
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -78,8 +78,9 @@
   // A younger confirmation of an earlier revision is that of a restored store, which has lost this one.
   state.configuration.confirmed = confirmed
   removeStaleEntries(state, next)
-  const { era, version } = state.configuration.position
-  const fields = { revision: next.revision, era, version }
+  const { position: { era, version }, relay: { reported } } = state.configuration
+  const sinceReportMs = reported?.revision === next.revision ? Math.round(state.now - reported.at) : undefined
+  const fields = { revision: next.revision, era, version, sinceReportMs }
   return [
     { slice: 'log', type: 'line', level: 'info', message: 'configuration in force', fields }, ...logUnreadableParts(next)
   ]
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -7,6 +7,7 @@
 import type { ConfirmationAsked, ConfirmationReported } from './ConfigurationEvent'
 import { CURRENT_AGE, FETCH_TIMEOUT } from './configurationTimings'
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
+import { noteReportedRevision } from './noteReportedRevision'
 import { noteStoreEra } from './noteStoreEra'
 import type { OpenQuery } from './RelayState'
 import { applyNotices, listNotices } from '../rollout/relayRollouts'
@@ -56,6 +57,7 @@
   relay.queries.delete(message.query)
   relay.repliedAt = now
   recordReliability(state, message)
+  noteReportedRevision(state, message.revision)
   const noted = noteStoreEra(state, message.era)
   if (message.following && message.rollouts !== undefined) noted.push(...applyNotices(state, message.rollouts))
   const member = directory.members.get(message.node)
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -3,6 +3,7 @@
 import { REMOTE_TRIAL_OVERDUE } from '../admission/admissionTimings'
 import { restoreDeparture } from '../admission/handleAnnouncement'
 import { scheduleConfirmationCheck } from '../configuration/checkConfirmation'
+import { noteReportedRevision } from '../configuration/noteReportedRevision'
 import { noteStoreEra } from '../configuration/noteStoreEra'
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
@@ -104,6 +105,7 @@
   member.revision = message.revision
   member.leaving = message.leaving
   member.hearsThisNode = message.hearsReceiver
+  noteReportedRevision(state, message.revision)
   return []
 }
 
--- a/packages/mesh/src/lifecycle/reduceLifecycle.ts
+++ b/packages/mesh/src/lifecycle/reduceLifecycle.ts
@@ -51,7 +51,9 @@
   const isIdle = openExchanges === 0 && requests.size === 0 && running === 0 && openStreams === 0
   if (now < stopTime && !(isIdle && isRefusingRequests(state))) return [scheduleCheck()]
   lifecycle.ended = true
-  const fields = { idle: isIdle, openExchanges, requests: requests.size, running, openStreams }
+  const { lastDispatchAt } = state.admission
+  const sinceDispatchMs = lastDispatchAt === 0 ? undefined : Math.round(now - lastDispatchAt)
+  const fields = { idle: isIdle, openExchanges, requests: requests.size, running, openStreams, sinceDispatchMs }
   return [
     { slice: 'log', type: 'line', level: 'info', message: 'node ends', fields },
     ...refuseRemaining(state),
