--- a/packages/mesh/src/configuration/relay.test.ts
+++ b/packages/mesh/src/configuration/relay.test.ts
@@ -1,6 +1,12 @@
-import { makeFleetConfiguration, makeMeshState, makeStorePosition, atTime, RelayFleet, type RelayFleetOptions } from '@lavenderturn/fixtures/mesh'
+import {
+  makeFleetConfiguration, makeMeshState, makeStorePosition, atTime, RelayFleet, type RelayFleetOptions,
+  type StoreTreatment
+} from '@lavenderturn/fixtures/mesh'
 import { millis, toId } from '@lavenderturn/types'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { describe, expect, it } from 'vitest'
+import { hashText } from '../hashText'
 import { reduceMesh } from '../reduceMesh'
 import type { MeshState } from '../MeshState'
 import type { MeshEffect } from '../MeshEffect'
@@ -135,6 +141,64 @@
   })
 })
 
+describe('a revision', () => {
+  const RUNS = 40
+
+  /** The change comes at a random time of the intervals at which nodes query each other and the store. */
+  const MAX_PHASE_MS = 1_000
+
+  interface Disturbance {
+    /** Share of the datagrams and fetches that are lost. */
+    readonly loss?: number
+    /** Share of the pairs of nodes that the loss concerns; all by default. */
+    readonly pairs?: number
+    /** How the store treats its followers and a third of the other nodes. */
+    readonly treatment?: StoreTreatment
+  }
+
+  /** Disturbs fleets of the size of a grown site when a revision is written, and returns its longest delay. */
+  function measureWorstAdoption ({ loss = 0, pairs = 1, treatment = 'served' }: Disturbance): number {
+    const delays = Array.from({ length: RUNS }, (_, index) => {
+      const seed = index + 1
+      const random = xoroshiro128plus(seed)
+      let isDisturbed = false
+      let concerned: ReadonlySet<string> = new Set()
+      const isConcernedPair = (from: string, to: string): boolean => {
+        return hashText(`${[from, to].sort().join()}/${seed}`) / 2 ** 32 < pairs
+      }
+      const fleet = makeSettledFleet({
+        dataCentres: 4,
+        nodesPerDataCentre: 18,
+        seed,
+        treat: (node) => isDisturbed && concerned.has(node) ? treatment : 'served',
+        arrives: (from, to) => !isDisturbed || !isConcernedPair(from, to) || uniformFloat64(random) >= loss
+      })
+      fleet.runUntil(fleet.now + Math.floor(uniformFloat64(random) * MAX_PHASE_MS))
+      const third = fleet.list().map(({ node }) => node).filter(() => uniformFloat64(random) < 1 / 3)
+      concerned = new Set([...listFollowers(fleet), ...third])
+      isDisturbed = true
+      return measureAdoption(fleet)
+    })
+    return Math.max(...delays)
+  }
+
+  // Guards against nodes that learn of a revision only from replies to their own queries. Each lost one delayed it by
+  // 0.5 s and made the node query nodes that do not follow the store.
+  it.each([
+    ['5 in 100 datagrams are lost', { loss: 0.05 }],
+    ['30 in 100 datagrams of some pairs of nodes are lost', { loss: 0.3, pairs: 0.12 }]
+  ])('is in force everywhere within the bound while %s', (_, disturbance) => {
+    expect(measureWorstAdoption(disturbance)).toBeLessThan(CONFIGURATION_BOUND_MS)
+  })
+
+  // Guards against a data centre that waits until its confirmations are out of date before it asks others.
+  it.each([
+    ['rejected', { treatment: 'rejected' }], ['silent', { treatment: 'silent' }]
+  ] as const)('is in force everywhere within the bound when calls of the followers are %s', (_, disturbance) => {
+    expect(measureWorstAdoption(disturbance)).toBeLessThan(CONFIGURATION_BOUND_MS)
+  })
+})
+
 describe('the age of a relayed confirmation', () => {
   /** A node that has one neighbour and has queried it at 10,000 ms. */
   function makeAskingState (): { readonly state: MeshState, readonly query: string } {
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -1,6 +1,6 @@
 import {
-  atTime, makeAnnouncement, makeFleetConfiguration, makeMemberRecord, makeMeshState, makeSlotRequest, makeStorePosition,
-  RelayFleet
+  atTime, makeAnnouncement, makeFleetConfiguration, makeHeartbeat, makeMemberRecord, makeMeshState, makeSlotRequest,
+  makeStorePosition, RelayFleet
 } from '@lavenderturn/fixtures/mesh'
 import { type DataCentreId, millis, toId } from '@lavenderturn/types'
 import { describe, expect, it } from 'vitest'
@@ -101,6 +101,45 @@
   })
 })
 
+describe('a process that has read the copy and hears of a later revision', () => {
+  interface Hearing {
+    readonly state: MeshState
+    /** What the heartbeat of the neighbour causes. */
+    readonly effects: MeshEffect[]
+  }
+
+  /** Makes the state of a process that has read revision 6 of the copy and gets a heartbeat of a neighbour. */
+  function makeHearingState ({ revision }: { readonly revision: number }): Hearing {
+    const state = makeMeshState({ configuration: null })
+    reduceMesh(state, atTime({ slice: 'directory', type: 'registryRead', records: [makeMemberRecord('node-2')] }, 4_900))
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: [] })
+    const message = makeHeartbeat({ node: toId('node-2'), revision: toId(revision) })
+    const from = makeMemberRecord('node-2').peerAddress
+    const effects = reduceMesh(state, atTime({ slice: 'directory', type: 'beatReceived', message, from }, 5_100))
+    return { state, effects }
+  }
+
+  function listFetches (effects: readonly MeshEffect[]): MeshEffect[] {
+    return effects.filter(({ slice, type }) => slice === 'configuration' && type === 'fetch')
+  }
+
+  // Guards against a process that follows the store, queries no neighbour, and serves an old configuration although
+  // each heartbeat of its neighbours tells the later revision.
+  it('gets the later revision from the neighbour', () => {
+    expect(listFetches(makeHearingState({ revision: 7 }).effects)).toHaveLength(1)
+    expect(listFetches(makeHearingState({ revision: 6 }).effects)).toEqual([])
+  })
+
+  // Guards against a withdrawn key that works for as long as the store has the copy.
+  it('does not confirm the earlier revision any more', () => {
+    const { state } = makeHearingState({ revision: 7 })
+    read(state, { at: 5_500, position: makeStorePosition(41, 2), revision: 6, unchanged: true })
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 5_000, wallAt: 5_000 })
+    read(state, { at: 6_000, position: makeStorePosition(42, 2), revision: 7 })
+    expect(state.configuration.confirmed).toEqual({ steadyAt: 6_000, wallAt: 6_000 })
+  })
+})
+
 describe('an evacuation that a restored store lacks', () => {
   function isOpen (state: MeshState, at: number): boolean {
     const message = makeSlotRequest({ reservation: toId(`reservation-${at}`) })
