Give the server beside a stopping node work until the node is about to end

Cause: a node in a planned stop closed its admission with the signal, but runs on for 2.8 s so that callers notice; with the start of the next process its server was idle for 3.5 to 4.7 s. Evidence: from 26.0 to 28.0 s the 15 servers that got nothing all stood beside nodes with 'stop asked', and no other server got nothing, which rules out late trials and mean service times there.

Change: the admission stays open until its last runs are expected to end with the 2.8 s, or until four times the usual time of its slowest route remain of the grace period. Ownership of rates still moves at once, and roll-outs do not count a stopping node's server as ready.

Measured: plannedStop.servers.test.ts failed with 3,354 to 3,534 ms without a request at the end of the stop (1,000 allowed) and passes; no run is cut. 190 tests of lifecycle, admission, gateway, roll-out and planned stop pass.

--- a/packages/mesh/src/admission/findUnavailableReason.ts
+++ b/packages/mesh/src/admission/findUnavailableReason.ts
@@ -26,7 +26,7 @@
   const { admission: { server }, bounds, directory, identity, lifecycle, now } = state
   // The registry tells whether the server has left while an earlier process of this node was running.
   if (!directory.registered) return 'closed'
-  if (lifecycle.stopping || server === undefined || server.state !== 'ready' || !server.reachable) return 'closed'
+  if (lifecycle.admissionClosed || server === undefined || server.state !== 'ready' || !server.reachable) return 'closed'
   if (now - server.lastAnnouncedAt > bounds.announceInterval * MAX_MISSED_ANNOUNCEMENTS) return 'closed'
   if (isEvacuated(state, identity.dataCentre)) return 'evacuated'
   return undefined
--- a/packages/mesh/src/gateway/requestSlot.ts
+++ b/packages/mesh/src/gateway/requestSlot.ts
@@ -6,6 +6,7 @@
 import { recordReply } from '../directory/recordReply'
 import { recordUnanswered } from '../directory/recordUnanswered'
 import type { Member } from '../directory/Member'
+import { READINESS_PROPAGATION_TIME } from '../lifecycle/plannedStop'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import { abandonSwitch, completeSwitch } from './completeSwitch'
@@ -61,7 +62,7 @@
   const asked = new Set<NodeId>([...request.slotRequests.values()].map(({ node }) => node))
   const candidates: Member[] = []
   for (const member of listServers(state.directory, request.service)) {
-    if (member.leaving) continue
+    if (member.leaving && !takesWorkWhileLeaving(state, member)) continue
     if (isEvacuated(state, member.dataCentre)) continue
     if (member.node === request.currentAttempt?.node || member.node === request.slowAttempt?.node) continue
     if (asked.has(member.node) || request.refusedBy.has(member.node) || request.sentTo.has(member.node)) continue
@@ -71,6 +72,11 @@
   return candidates
 }
 
+/** A node in a planned stop gives its server work for a while, and reports when it no longer does. */
+function takesWorkWhileLeaving ({ now }: MeshState, { load, loadReceivedAt }: Member): boolean {
+  return load.open && now - loadReceivedAt < READINESS_PROPAGATION_TIME
+}
+
 function selectCandidate (state: MeshState, request: GatewayRequest): Member | undefined {
   const candidates = sampleCandidates(state, listCandidates(state, request))
   return state.policies.ranking.rank(state, request, candidates)[0]
--- a/packages/mesh/src/lifecycle/LifecycleState.ts
+++ b/packages/mesh/src/lifecycle/LifecycleState.ts
@@ -7,6 +7,8 @@
   /** Whether the process has been asked to stop. */
   stopping: boolean
   stopRequestedAt?: Millis
+  /** Whether the backend server gets no new work any more because of the stop. */
+  admissionClosed: boolean
   /** Whether the runtime has been told to end the process. */
   ended: boolean
 }
@@ -16,5 +18,5 @@
  * @internal
  */
 export function createLifecycleState (): LifecycleState {
-  return { startedAt: millis(0), stopping: false, ended: false }
+  return { startedAt: millis(0), stopping: false, admissionClosed: false, ended: false }
 }
--- a/packages/mesh/src/lifecycle/plannedStop.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.ts
@@ -1,4 +1,5 @@
 import { addMillis, type Millis, millis } from '@lavenderturn/types'
+import { DEFAULT_SERVICE_MS, OVERDUE_FACTOR } from '../admission/admissionTimings'
 import type { MeshState } from '../MeshState'
 
 /** Time that callers need to notice that the node is not ready: two health checks a second apart, and some slack. */
@@ -32,3 +33,21 @@
 export function findStopTime ({ bounds, lifecycle: { stopRequestedAt } }: MeshState): Millis | undefined {
   return stopRequestedAt === undefined ? undefined : addMillis(stopRequestedAt, millis(bounds.grace - SHUTDOWN_RESERVE))
 }
+
+/**
+ * Finds when the admission of a stopping node closes. Its server is needed for as long as the process runs anyway, but
+ * its last runs should end by the time at which callers have noticed, and none may be cut by the end of the process.
+ *
+ * @param state - the node's state
+ * @returns the time, or undefined without a planned stop
+ * @internal
+ */
+export function findAdmissionEnd (state: MeshState): Millis | undefined {
+  const { admission: { routeTimes }, lifecycle: { stopRequestedAt } } = state
+  const stopTime = findStopTime(state)
+  if (stopRequestedAt === undefined || stopTime === undefined) return undefined
+  const usualMs = routeTimes.size === 0 ? DEFAULT_SERVICE_MS : Math.max(...routeTimes.values())
+  return millis(Math.min(
+    stopRequestedAt + READINESS_PROPAGATION_TIME - usualMs, stopTime - usualMs * OVERDUE_FACTOR
+  ))
+}
--- a/packages/mesh/src/rollout/isServerReady.ts
+++ b/packages/mesh/src/rollout/isServerReady.ts
@@ -8,7 +8,7 @@
  * @internal
  */
 export function isServerReady (state: MeshState): boolean {
-  const { admission: { grayFailure, server }, now, policies } = state
-  if (findServerFault(state) !== undefined || now < (server?.coldUntil ?? 0)) return false
+  const { admission: { grayFailure, server }, lifecycle, now, policies } = state
+  if (lifecycle.stopping || findServerFault(state) !== undefined || now < (server?.coldUntil ?? 0)) return false
   return !policies.grayFailureDetector.isSuspect(grayFailure, now)
 }
