Get a later revision that a heartbeat or an introduction tells

A lost reply made it query nodes that do not follow the store, a lost fetch blocked the next one for 0.6 s, and a node that follows the store, or has just started from a copy of it, queried nobody, though every heartbeat it got told the later revision.

Change: heartbeats, and now introductions too, start the fetch where replies have been missing for 0.6 s or are not expected. While a running node has a later revision in force, a node's own does not count as confirmed.

Messages: one number more in introductions.

--- a/packages/mesh-runtime/src/peers/peerCodec.ts
+++ b/packages/mesh-runtime/src/peers/peerCodec.ts
@@ -19,7 +19,7 @@
   cancel: ['reservation'],
   confirmation: ['query', 'node', 'following', 'revision', 'version', 'ageMs', 'evacuated', 'era', 'rollouts'],
   crash: ['fingerprint', 'endpoint', 'startedAt'],
-  hello: ['node', 'boot', 'dataCentre', 'service', 'peerAddress', 'forwardAddress', 'wantsReply'],
+  hello: ['node', 'boot', 'dataCentre', 'service', 'peerAddress', 'forwardAddress', 'wantsReply', 'revision'],
   recall: ['reservation', 'replyTo'],
   recalled: ['reservation', 'attemptState'],
   release: ['reservation'],
--- a/packages/mesh-runtime/src/peers/peerMessageSchema.ts
+++ b/packages/mesh-runtime/src/peers/peerMessageSchema.ts
@@ -51,7 +51,8 @@
     service: nonEmptyId,
     peerAddress: addressSchema,
     forwardAddress: addressSchema,
-    wantsReply: z.boolean()
+    wantsReply: z.boolean(),
+    revision: z.optional(nonNegativeNumber)
   }),
   z.object({
     kind: z.literal('askSlot'),
--- a/packages/mesh/src/configuration/RelayState.ts
+++ b/packages/mesh/src/configuration/RelayState.ts
@@ -26,7 +26,7 @@
   readonly faults: Map<NodeId, RelayFault>
   /** When any node last replied. */
   repliedAt: Millis
-  /** Latest revision that another node has reported, and when the first report of it came. */
+  /** Latest revision that another node has reported, and since when this node has known that it is behind. */
   reported?: { readonly revision: Revision, readonly at: Millis }
   /** Until when a fetch of a configuration from another node is in progress. */
   fetchUntil: Millis
--- a/packages/mesh/src/configuration/configurationTimings.ts
+++ b/packages/mesh/src/configuration/configurationTimings.ts
@@ -21,6 +21,12 @@
 /** Time for which a fetch of a configuration from another node may take before another one is started. */
 export const FETCH_TIMEOUT = millis(600)
 
+/**
+ * Time after the first report of a later revision from which heartbeats start fetches. Replies to queries usually bring
+ * it before, and spread the fetches over the nodes that have it.
+ */
+export const REPORT_GRACE = millis(600)
+
 /** Nodes of a data centre that follow the store, at least; two, so that one may fail. */
 export const MIN_FOLLOWERS = 2
 
--- a/packages/mesh/src/configuration/confirmationAge.ts
+++ b/packages/mesh/src/configuration/confirmationAge.ts
@@ -1,6 +1,7 @@
 import { type Millis, millis } from '@lavenderturn/types'
 import type { MeshState } from '../MeshState'
 import type { Confirmation } from './ConfigurationState'
+import { isSuperseded } from './isSuperseded'
 
 /** Age of a confirmation that never came. */
 export const NEVER_CONFIRMED = millis(1_000_000_000)
@@ -23,12 +24,14 @@
 }
 
 /**
- * Replaces the node's confirmation unless it has a younger one.
+ * Replaces the node's confirmation unless it has a younger one, or a running node has a later revision in force.
  *
  * @param state - the node's state
  * @param confirmed - a confirmation of the configuration in force
  * @internal
  */
 export function acceptConfirmation (state: MeshState, confirmed: Confirmation): void {
+  const { current } = state.configuration
+  if (current !== undefined && isSuperseded(state, current.revision)) return
   if (findConfirmationAge(state, confirmed) <= findConfirmationAge(state)) state.configuration.confirmed = confirmed
 }
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -5,8 +5,9 @@
 import { checkConfirmation } from './checkConfirmation'
 import type { ConfigurationEvent, ConfigurationRead } from './ConfigurationEvent'
 import type { ConfigurationState, Confirmation } from './ConfigurationState'
-import { acceptConfirmation } from './confirmationAge'
+import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
 import type { FleetConfiguration } from './FleetConfiguration'
+import { isSuperseded } from './isSuperseded'
 import { noteStoreEra } from './noteStoreEra'
 import { receiveConfirmation, reportConfirmation } from './relayConfirmation'
 import { isEarlier } from './StorePosition'
@@ -76,7 +77,7 @@
   if (current !== undefined && current.revision >= next.revision) return []
   state.configuration.current = next
   // A younger confirmation of an earlier revision is that of a restored store, which has lost this one.
-  state.configuration.confirmed = confirmed
+  state.configuration.confirmed = isSuperseded(state, next.revision) ? findOlder(state, confirmed) : confirmed
   removeStaleEntries(state, next)
   const { position: { era, version }, relay: { reported } } = state.configuration
   const sinceReportMs = reported?.revision === next.revision ? Math.round(state.now - reported.at) : undefined
@@ -86,6 +87,11 @@
   ]
 }
 
+/** Finds the time at which the store cannot yet have had a later revision than the one that comes into force. */
+function findOlder (state: MeshState, confirmed: Confirmation): Confirmation | undefined {
+  return findConfirmationAge(state) > findConfirmationAge(state, confirmed) ? state.configuration.confirmed : confirmed
+}
+
 /** Logs the first of several ignored readings in a row. */
 function noteIgnoredReading (configuration: ConfigurationState, event: ConfigurationRead): MeshEffect[] {
   configuration.ignoredReadings += 1
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -1,16 +1,15 @@
-import { addMillis, millis } from '@lavenderturn/types'
-import type { Member } from '../directory/Member'
+import { millis } from '@lavenderturn/types'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
 import type { ConfirmationMessage } from '../messages/PeerMessage'
 import { applyEvacuated, applyRestoredEvacuated } from './applyEvacuated'
 import type { ConfirmationAsked, ConfirmationReported } from './ConfigurationEvent'
-import { CURRENT_AGE, FETCH_TIMEOUT } from './configurationTimings'
+import { CURRENT_AGE } from './configurationTimings'
 import { acceptConfirmation, findConfirmationAge } from './confirmationAge'
-import { noteReportedRevision } from './noteReportedRevision'
 import { noteStoreEra } from './noteStoreEra'
 import type { OpenQuery } from './RelayState'
 import { applyNotices, listNotices } from '../rollout/relayRollouts'
+import { fetchConfiguration, noteReportedRevision } from './reportedRevision'
 import { isEarlier } from './StorePosition'
 
 /**
@@ -84,13 +83,6 @@
   else faults.set(node, following ? 'unserved' : 'absent')
 }
 
-function fetchConfiguration (state: MeshState, member: Member | undefined): MeshEffect[] {
-  const { relay } = state.configuration
-  if (member === undefined || state.now < relay.fetchUntil) return []
-  relay.fetchUntil = addMillis(state.now, FETCH_TIMEOUT)
-  return [{ slice: 'configuration', type: 'fetch', address: member.forwardAddress }]
-}
-
 function hasSameEvacuated ({ configuration }: MeshState, { evacuated }: ConfirmationMessage): boolean {
   return evacuated.length === configuration.evacuated.size &&
     evacuated.every((dataCentre) => configuration.evacuated.has(dataCentre))
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -113,7 +113,7 @@
     const state = makeMeshState({ configuration: null })
     reduceMesh(state, atTime({ slice: 'directory', type: 'registryRead', records: [makeMemberRecord('node-2')] }, 4_900))
     read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: [] })
-    const message = makeHeartbeat({ node: toId('node-2'), revision: toId(revision) })
+    const message = makeHeartbeat('node-2', { revision: toId(revision) })
     const from = makeMemberRecord('node-2').peerAddress
     const effects = reduceMesh(state, atTime({ slice: 'directory', type: 'beatReceived', message, from }, 5_100))
     return { state, effects }
--- a/packages/mesh/src/directory/describeSelf.ts
+++ b/packages/mesh/src/directory/describeSelf.ts
@@ -39,5 +39,6 @@
  * @internal
  */
 export function composeHello (state: MeshState, wantsReply: boolean): HelloMessage {
-  return { kind: 'hello', ...describeRecord(state), wantsReply }
+  const revision = state.configuration.current?.revision
+  return { kind: 'hello', ...describeRecord(state), wantsReply, ...revision !== undefined && { revision } }
 }
--- a/packages/mesh/src/directory/reduceDirectory.ts
+++ b/packages/mesh/src/directory/reduceDirectory.ts
@@ -3,8 +3,8 @@
 import { REMOTE_TRIAL_OVERDUE } from '../admission/admissionTimings'
 import { restoreDeparture } from '../admission/handleAnnouncement'
 import { scheduleConfirmationCheck } from '../configuration/checkConfirmation'
-import { noteReportedRevision } from '../configuration/noteReportedRevision'
 import { noteStoreEra } from '../configuration/noteStoreEra'
+import { learnOfRevision } from '../configuration/reportedRevision'
 import { hashText } from '../hashText'
 import type { MeshEffect } from '../MeshEffect'
 import type { MeshState } from '../MeshState'
@@ -105,20 +105,24 @@
   member.revision = message.revision
   member.leaving = message.leaving
   member.hearsThisNode = message.hearsReceiver
-  noteReportedRevision(state, message.revision)
-  return []
+  return learnOfRevision(state, member, message.revision)
 }
 
 function receiveHello (state: MeshState, { message }: HelloReceived): MeshEffect[] {
   if (message.node === state.identity.nodeId) return []
   registerMember(state, message)
   const member = state.directory.members.get(message.node)
+  const effects: MeshEffect[] = []
   if (member !== undefined && member.boot === message.boot) {
     member.lastHeardAt = state.now
     if (!message.wantsReply) member.hearsThisNode = true
+    if (message.revision !== undefined) {
+      member.revision = message.revision
+      effects.push(...learnOfRevision(state, member, message.revision))
+    }
   }
-  if (!message.wantsReply) return []
-  return [{ slice: 'peer', type: 'send', to: message.peerAddress, message: composeHello(state, false) }]
+  if (!message.wantsReply) return effects
+  return [...effects, { slice: 'peer', type: 'send', to: message.peerAddress, message: composeHello(state, false) }]
 }
 
 /** @returns whether the record is new */
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -53,6 +53,8 @@
   readonly forwardAddress: Address
   /** Whether the receiver should introduce itself in return. */
   readonly wantsReply: boolean
+  /** Configuration revision that the sender has in force; absent before its first, and from older versions. */
+  readonly revision?: Revision
 }
 
 /** Requests a slot of the receiver's backend server. @public */
