Use the revision of an introduction before the first reading is confirmed

Cause: the confirmation of a first reading did not look at what introductions had told before it, and one that came before the reading started a fetch from another data centre at each start of a process.

Change: a confirmation names the revision that it is for; a node without a configuration starts no fetch by heartbeats and introductions.

--- a/packages/mesh/src/configuration/confirmationAge.ts
+++ b/packages/mesh/src/configuration/confirmationAge.ts
@@ -1,4 +1,4 @@
-import { type Millis, millis } from '@lavenderturn/types'
+import { type Millis, millis, type Revision } from '@lavenderturn/types'
 import type { MeshState } from '../MeshState'
 import type { Confirmation } from './ConfigurationState'
 import { isSuperseded } from './isSuperseded'
@@ -27,11 +27,13 @@
  * Replaces the node's confirmation unless it has a younger one, or a running node has a later revision in force.
  *
  * @param state - the node's state
- * @param confirmed - a confirmation of the configuration in force
+ * @param confirmation - a confirmation of the configuration in force, and the revision that was confirmed
  * @internal
  */
-export function acceptConfirmation (state: MeshState, confirmed: Confirmation): void {
-  const { current } = state.configuration
-  if (current !== undefined && isSuperseded(state, current.revision)) return
+export function acceptConfirmation (
+  state: MeshState,
+  { confirmed, revision }: { readonly confirmed: Confirmation, readonly revision: Revision }
+): void {
+  if (isSuperseded(state, revision)) return
   if (findConfirmationAge(state, confirmed) <= findConfirmationAge(state)) state.configuration.confirmed = confirmed
 }
--- a/packages/mesh/src/configuration/reduceConfiguration.ts
+++ b/packages/mesh/src/configuration/reduceConfiguration.ts
@@ -46,7 +46,9 @@
   // one in force while the store has an earlier one: what followed on it may be lost as well.
   const { storedRevision } = event
   const isInForce = storedRevision !== undefined && storedRevision >= (configuration.current?.revision ?? 0)
-  if (event.unreadable === undefined && isInForce) acceptConfirmation(state, event.confirmed)
+  if (event.unreadable === undefined && isInForce) {
+    acceptConfirmation(state, { confirmed: event.confirmed, revision: storedRevision })
+  }
   const effects: MeshEffect[] = [...noted, ...noteReadability(state, event)]
   if (event.configuration !== undefined) {
     effects.push(...applyConfiguration(state, event.configuration, event.confirmed))
--- a/packages/mesh/src/configuration/relay.test.ts
+++ b/packages/mesh/src/configuration/relay.test.ts
@@ -1,6 +1,6 @@
 import {
-  makeFleetConfiguration, makeMeshState, makeStorePosition, atTime, RelayFleet, type RelayFleetOptions,
-  type StoreTreatment
+  makeFleetConfiguration, makeHeartbeat, makeMemberRecord, makeMeshState, makeStorePosition, atTime, RelayFleet,
+  type RelayFleetOptions, type StoreTreatment
 } from '@lavenderturn/fixtures/mesh'
 import { millis, toId } from '@lavenderturn/types'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -199,6 +199,22 @@
   })
 })
 
+describe('a heartbeat that states a later revision', () => {
+  // Guards against fetches of a whole data centre from one node at the moment of its heartbeat.
+  it('starts a fetch only once replies to queries have been missing for a while', () => {
+    const state = makeMeshState({ at: 0 })
+    reduceMesh(state, atTime({ slice: 'directory', type: 'registryRead', records: [makeMemberRecord('node-2')] }, 100))
+    state.configuration.relay.repliedAt = millis(900)
+    const hear = (at: number): boolean => {
+      const message = makeHeartbeat('node-2', { revision: toId(2) })
+      const from = makeMemberRecord('node-2').peerAddress
+      const effects = reduceMesh(state, atTime({ slice: 'directory', type: 'beatReceived', message, from }, at))
+      return effects.some(({ slice, type }) => slice === 'configuration' && type === 'fetch')
+    }
+    expect([1_000, 1_500, 1_700].map(hear)).toEqual([false, false, true])
+  })
+})
+
 describe('the age of a relayed confirmation', () => {
   /** A node that has one neighbour and has queried it at 10,000 ms. */
   function makeAskingState (): { readonly state: MeshState, readonly query: string } {
--- a/packages/mesh/src/configuration/relayConfirmation.ts
+++ b/packages/mesh/src/configuration/relayConfirmation.ts
@@ -88,8 +88,7 @@
     evacuated.every((dataCentre) => configuration.evacuated.has(dataCentre))
 }
 
-function acceptReport (state: MeshState, { ageMs }: ConfirmationMessage, { askedAt }: OpenQuery): void {
-  acceptConfirmation(state, {
-    steadyAt: millis(askedAt.steadyAt - ageMs), wallAt: millis(askedAt.wallAt - ageMs)
-  })
+function acceptReport (state: MeshState, { ageMs, revision }: ConfirmationMessage, { askedAt }: OpenQuery): void {
+  const confirmed = { steadyAt: millis(askedAt.steadyAt - ageMs), wallAt: millis(askedAt.wallAt - ageMs) }
+  acceptConfirmation(state, { confirmed, revision })
 }
--- a/packages/mesh/src/configuration/reportedRevision.ts
+++ b/packages/mesh/src/configuration/reportedRevision.ts
@@ -19,7 +19,8 @@
 export function learnOfRevision (state: MeshState, member: Member, revision: Revision): MeshEffect[] {
   noteReportedRevision(state, revision)
   const { configuration: { current, relay }, identity, now } = state
-  if (revision <= (current?.revision ?? 0)) return []
+  // A node without a configuration reads the store and queries others already.
+  if (current === undefined || revision <= current.revision) return []
   const expectsReplies = !relay.following && relay.repliedAt > 0
   if (expectsReplies && now - relay.reported!.at < REPORT_GRACE) return []
   // Traffic between data centres is charged for, and a neighbour usually has the revision soon.
--- a/packages/mesh/src/configuration/restoredStore.test.ts
+++ b/packages/mesh/src/configuration/restoredStore.test.ts
@@ -130,6 +130,18 @@
     expect(listFetches(makeHearingState({ revision: 6 }).effects)).toEqual([])
   })
 
+  // Guards against a process that serves the copy until the first heartbeat, although the introductions of its
+  // neighbours come before it is ready.
+  it('confirms nothing that the introduction of a neighbour has shown to be old', () => {
+    const state = makeMeshState({ configuration: null })
+    const message = { kind: 'hello', ...makeMemberRecord('node-2'), wantsReply: false, revision: toId<never>(7) } as const
+    reduceMesh(state, atTime({ slice: 'directory', type: 'helloReceived', message }, 4_900))
+    read(state, { at: 5_000, position: makeStorePosition(40, 2), revision: 6, evacuated: [] })
+    expect(state.configuration.confirmed).toBeUndefined()
+    const effects = reduceMesh(state, atTime({ slice: 'directory', type: 'helloReceived', message }, 5_010))
+    expect(listFetches(effects)).toHaveLength(1)
+  })
+
   // Guards against a withdrawn key that works for as long as the store has the copy.
   it('does not confirm the earlier revision any more', () => {
     const { state } = makeHearingState({ revision: 7 })
