--- a/packages/mesh/src/directory/Member.ts
+++ b/packages/mesh/src/directory/Member.ts
@@ -21,7 +21,7 @@
   /** Introductions that were sent to it. */
   hellosSent: number
   leaving: boolean
-  /** When its latest planned stop became known. */
+  /** When its planned stop became known; without a meaning while `leaving` is not set. */
   leavingSince: Millis
   /** Whether it is one of the nodes that may own the rates of teams. */
   mayOwnRates: boolean
--- a/packages/mesh/src/lifecycle/plannedStop.servers.test.ts
+++ b/packages/mesh/src/lifecycle/plannedStop.servers.test.ts
@@ -24,6 +24,10 @@
   readonly seed: number
 }
 
+function isSlow (requestId: string): boolean {
+  return Number(requestId.split('-')[1]) % SLOW_EVERY === 0
+}
+
 /** A fleet with a steady load, four nodes of which are stopped at the same moment. */
 function runStop ({ serviceMs, slowMs = serviceMs, timeoutMs, seed }: Stop): MeshFleet {
   const configuration = makeFleetConfiguration({
@@ -37,10 +41,7 @@
     nodes: NODES,
     slots: 4,
     seed,
-    run: ({ requestId }) => {
-      const isSlow = Number(requestId.split('-')[1]) % SLOW_EVERY === 0
-      return { outcome: SUCCESS, afterMs: isSlow ? slowMs : serviceMs }
-    }
+    run: ({ requestId }) => ({ outcome: SUCCESS, afterMs: isSlow(requestId) ? slowMs : serviceMs })
   })
   const perSecond = NODES * 4 * 0.5 / (serviceMs / 1_000) / 2
   const kinds = [{ name: 'lookup', path: '/lookup/', perSecond }, { name: 'order', path: '/order/', perSecond }]
@@ -76,9 +77,8 @@
       const isCut = ({ node, requestId, at }: BackendRun): boolean => {
         // A slow lookup is sent to another server as well, and aborted at the first one.
         if (!requestId.startsWith('order')) return false
-        const isSlow = Number(requestId.split('-')[1]) % SLOW_EVERY === 0
         const deadline = fleet.arrivals.get(requestId)! + times.timeoutMs
-        const endsAt = Math.min(deadline, at + (isSlow ? times.slowMs : times.serviceMs))
+        const endsAt = Math.min(deadline, at + (isSlow(requestId) ? times.slowMs : times.serviceMs))
         const processEndsAt = fleet.ended.get(node)
         return processEndsAt !== undefined && at > STOP_MS && at < processEndsAt && endsAt > processEndsAt
       }
--- a/packages/mesh/src/messages/PeerMessage.ts
+++ b/packages/mesh/src/messages/PeerMessage.ts
@@ -36,7 +36,7 @@
   readonly boot: string
   readonly load: LoadSummary
   readonly revision: Revision
-  /** Whether the sender is shutting down on purpose. */
+  /** Whether the sender is shutting down on purpose. Its server may take work for a while; `load` tells whether. */
   readonly leaving: boolean
   /** Whether the sender receives heartbeats from the receiver. Datagrams may get through in one direction only. */
   readonly hearsReceiver: boolean
